--- a/src/chivebeam/commands/command.h
+++ b/src/chivebeam/commands/command.h
@@ -35,10 +35,13 @@
                         const std::vector<std::string> &Words) const = 0;
 };
 
-/// Returns every subcommand.
-std::vector<std::unique_ptr<command>> allCommands();
+using command_list = std::vector<std::unique_ptr<command>>;
+
+/// Returns every subcommand of the product itself.
+command_list allCommands();
 
 /// Parses the command line, runs what it names and returns the exit status.
-int runCommandLine(int Count, char **Arguments);
+/// Further holds subcommands beside the product's own.
+int runCommandLine(int Count, char **Arguments, command_list Further = {});
 
 } // namespace chivebeam
--- a/src/chivebeam/commands/command_line.cpp
+++ b/src/chivebeam/commands/command_line.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <iostream>
+#include <iterator>
 
 #include "commands/check_command.h"
 #include "commands/history_command.h"
@@ -14,8 +16,7 @@
 
 namespace {
 
-void printOverview(const std::vector<std::unique_ptr<command>> &Commands,
-                   std::ostream &Out) {
+void printOverview(const command_list &Commands, std::ostream &Out) {
   Out << "chivebeam distributes service-mesh configuration and moves traffic "
          "between versions.\n\nusage: chivebeam COMMAND [options]\n\n";
   for (const auto &Command : Commands) {
@@ -60,8 +61,8 @@
 
 } // namespace
 
-std::vector<std::unique_ptr<command>> allCommands() {
-  std::vector<std::unique_ptr<command>> Commands;
+command_list allCommands() {
+  command_list Commands;
   Commands.push_back(std::make_unique<node_command>());
   Commands.push_back(std::make_unique<check_command>());
   Commands.push_back(std::make_unique<publish_command>());
@@ -72,9 +73,10 @@
   return Commands;
 }
 
-int runCommandLine(int Count, char **Arguments) {
+int runCommandLine(int Count, char **Arguments, command_list Further) {
   std::vector<std::string> Given(Arguments + 1, Arguments + Count);
-  std::vector<std::unique_ptr<command>> Commands = allCommands();
+  command_list Commands = allCommands();
+  std::move(Further.begin(), Further.end(), std::back_inserter(Commands));
   if (Given.empty() || Given.front() == "--help") {
     printOverview(Commands, Given.empty() ? std::cerr : std::cout);
     return static_cast<int>(Given.empty() ? exit_code::usage : exit_code::done);
--- a/src/chivebeam/main.cpp
+++ b/src/chivebeam/main.cpp
@@ -1,5 +1,8 @@
 #include "commands/command.h"
+#include "platform/sidecar_command.h"
 
 int main(int Count, char **Arguments) {
-  return chivebeam::runCommandLine(Count, Arguments);
+  chivebeam::command_list Further;
+  Further.push_back(std::make_unique<chivebeam::platform::sidecar_command>());
+  return chivebeam::runCommandLine(Count, Arguments, std::move(Further));
 }
--- /dev/null
+++ b/src/chivebeam/mesh/consumer_session.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "data/peer_watch.h"
+#include "mesh/entry_router.h"
+
+namespace chivebeam {
+
+/// Bounds the bytes of request bodies that are held at a time. Not thread safe.
+class body_budget {
+public:
+  explicit body_budget(std::uint64_t MaxBytes) : MaxBytes(MaxBytes) {}
+  bool take(std::uint64_t Bytes) {
+    if (Held + Bytes > MaxBytes)
+      return false;
+    Held += Bytes;
+    return true;
+  }
+  void give(std::uint64_t Bytes) { Held -= Bytes; }
+
+private:
+  std::uint64_t MaxBytes;
+  std::uint64_t Held = 0;
+};
+
+/// What the sessions of one listener share.
+struct session_context {
+  entry_router &Router;
+  const call_dialect &Dialect;
+  mesh_state &State;
+  mesh_metrics &Metrics;
+  body_budget Bodies;
+  bool Draining = false; ///< answers say that the connection ends
+};
+
+/// Serves one caller's connection: reads each request whole, has it carried to
+/// its end, and writes the answer. Runs on one io_context; not thread safe.
+class consumer_session {
+public:
+  /// \pre Shared outlives the session.
+  consumer_session(session_context &Shared, tcp::socket Socket);
+
+  /// Returns when the connection is closed.
+  awaitable<void> run();
+  /// Closes the connection if no byte of a request has arrived.
+  void closeIfIdle();
+
+private:
+  using request_parser = http::request_parser<http::string_body>;
+
+  awaitable<bool> serveRequest();
+  awaitable<bool> readHeader(request_parser &Parser);
+  awaitable<bool> readBody(request_parser &Parser, instant ArrivedAt);
+  awaitable<bool> carry(http::request<http::string_body> Request,
+                        instant ArrivedAt);
+  awaitable<bool> refuse(own_answer Answer, const request_id &Id, bool Keep);
+  awaitable<bool> write(unsigned Status, const header_list &Fields,
+                        shared_body Body, bool Keep, bool HeadOnly);
+  own_answer answerTo(const error_code &Code) const;
+
+  session_context &Shared;
+  beast::tcp_stream Stream;
+  peer_watch Watch;
+  beast::flat_buffer Buffer;
+  bool Idle = false;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -0,0 +1,231 @@
+// GCC 12 takes the inlined frame allocation of coroutines for another
+// allocator's.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "mesh/home_runner.h"
+
+#include "net/clock.h"
+#include "telemetry/log_event.h"
+
+namespace chivebeam {
+
+namespace {
+
+/// The backend server is on the same machine; a longer silence means that it
+/// does not take connections.
+constexpr milliseconds ConnectTimeout{300};
+/// After a failed connection, calls are handed back at once for so long.
+constexpr milliseconds UnreachableTime{250};
+/// The backend server stops by itself at the deadline; its last word is waited
+/// for a little longer.
+constexpr milliseconds LastWordTime{60};
+/// An older idle connection may be closed just as a call is sent. A call that
+/// must not run twice can't be sent again then, so its limit is closer.
+constexpr milliseconds MaxIdle{4'000};
+constexpr milliseconds MaxIdleOnce{1'000};
+/// Kept from the time for which the backend server says that it keeps a
+/// connection.
+constexpr milliseconds KeepAliveMargin{1'000};
+/// A refused call is told to come back after at least so long.
+constexpr milliseconds MinWait{30};
+
+} // namespace
+
+home_runner::home_runner(asio::io_context &IoContext,
+                         const call_dialect &CallDialect)
+    : Context(IoContext), Dialect(CallDialect) {}
+
+void home_runner::follow(const worker_report &Report) {
+  bool Another = !Worker || Worker->Start != Report.Start;
+  if (Another || Worker->At != Report.At)
+    Idle.clear();
+  if (Another) {
+    Queue.forgetTimes();
+    Failures.reset();
+    Evidence.clear();
+    UnreachableUntil = instant();
+  }
+  Worker = Report;
+  bool Takes = Report.Worker.State == worker_state::ready && !Stopping;
+  apply(Queue.setSlots(Takes ? Report.Worker.Slots : 0, currentTime()));
+}
+
+void home_runner::stop() {
+  Stopping = true;
+  apply(Queue.setSlots(0, currentTime()));
+}
+
+void home_runner::apply(const slot_change &Change) {
+  auto Tell = [&](const std::vector<call_number> &Calls, bool Started) {
+    for (call_number Call : Calls)
+      if (auto Found = Waiting.find(Call.value()); Found != Waiting.end())
+        Found->second.set(Started);
+  };
+  Tell(Change.Started, true);
+  Tell(Change.Refused, false);
+}
+
+bool home_runner::isFor(const mesh_call &Call) const {
+  return Worker && !Stopping && Worker->Start.Worker == Call.Worker &&
+         Worker->Worker.State == worker_state::ready;
+}
+
+void home_runner::run(mesh_call Call, const cancel_signal &Cancel,
+                      reply Reply) {
+  auto Job = std::make_shared<job>();
+  Job->Call = std::move(Call);
+  Job->Cancel = Cancel;
+  Job->Reply = std::move(Reply);
+  Job->Number = call_number(++NextNumber);
+  ++Active;
+  asio::co_spawn(Context, serve(Job), asio::detached);
+}
+
+void home_runner::finish(const job &Job, mesh_answer Answer) {
+  --Active;
+  Answer.Load = load();
+  Job.Reply(std::move(Answer));
+}
+
+void home_runner::refuse(const job &Job, std::string Reason) {
+  mesh_answer Answer = noAnswer(attempt_outcome::not_sent, std::move(Reason));
+  Answer.Wait =
+      std::max<microseconds>(Queue.expectedWait(currentTime()), MinWait);
+  finish(Job, std::move(Answer));
+}
+
+home_load home_runner::load() const {
+  instant Now = currentTime();
+  home_load Load = Queue.load(Now);
+  Load.FailedPermille = static_cast<unsigned>(Failures.value(Now) * 1'000);
+  if (Now < UnreachableUntil)
+    Load.Limit = 0;
+  return Load;
+}
+
+awaitable<void> home_runner::serve(job_ptr Job) {
+  instant Now = currentTime();
+  const mesh_call &Call = Job->Call;
+  if (!isFor(Call))
+    co_return refuse(*Job, "another backend server is here, or none");
+  if (Now < UnreachableUntil)
+    co_return refuse(*Job, "the backend server can't be reached");
+  slot_request Request{Job->Number, Call.Route, Call.Urgency,
+                       Call.Nested, Call.Goal,  Call.Deadline};
+  slot_answer Answer = Queue.arrive(Request, Now);
+  if (Answer == slot_answer::refuse)
+    co_return refuse(*Job, "no slot would be free in time");
+  bool Runs = true;
+  if (Answer == slot_answer::wait)
+    Runs = co_await waitForSlot(Job);
+  if (!Runs)
+    co_return refuse(*Job, Job->Cancel.raised()
+                               ? "its caller went away while it waited"
+                               : "no slot became free in time");
+  Job->HoldsSlot = true;
+  co_await runOnWorker(Job);
+}
+
+awaitable<bool> home_runner::waitForSlot(job_ptr Job) {
+  one_shot<bool> Turn(Context.get_executor());
+  Waiting.emplace(Job->Number.value(), Turn);
+  // It leaves the queue at once, so that no slot is given to it any more.
+  auto GiveUp = [this, Turn, Number = Job->Number] {
+    Queue.abandon(Number);
+    Turn.set(false);
+  };
+  Job->Cancel.onRaise(GiveUp);
+  if (Job->Cancel.raised())
+    GiveUp();
+  std::optional<bool> Started =
+      co_await Turn.wait(Job->Call.Deadline - currentTime());
+  Job->Cancel.onRaise(nullptr);
+  Waiting.erase(Job->Number.value());
+  bool Runs = Started.value_or(false);
+  if (!Runs)
+    Queue.abandon(Job->Number);
+  co_return Runs;
+}
+
+std::shared_ptr<worker_connection>
+home_runner::takeIdle(microseconds MaxIdleTime) {
+  instant Now = currentTime();
+  while (!Idle.empty()) {
+    std::shared_ptr<worker_connection> Last = std::move(Idle.back());
+    Idle.pop_back();
+    microseconds Bound = MaxIdleTime;
+    if (Last->KeepAlive.count() > 0)
+      Bound = std::min<microseconds>(Bound, Last->KeepAlive - KeepAliveMargin);
+    if (Now - Last->IdleSince < Bound && Last->isQuiet())
+      return Last;
+    Last->close();
+  }
+  return nullptr;
+}
+
+void home_runner::keep(std::shared_ptr<worker_connection> Connection) {
+  if (Connection->reusable() && Worker)
+    Idle.push_back(std::move(Connection));
+}
+
+awaitable<std::shared_ptr<worker_connection>>
+home_runner::connection(bool Idempotent) {
+  if (auto Kept = takeIdle(Idempotent ? MaxIdle : MaxIdleOnce))
+    co_return Kept;
+  ++ConnectionsOpened;
+  address At = Worker->At;
+  auto Connection = co_await connectToWorker(At, ConnectTimeout);
+  if (!Connection) {
+    UnreachableUntil = currentTime() + UnreachableTime;
+    log_event("worker_unreachable")
+        .add("worker", Worker->Start.Worker)
+        .add("address", At.text());
+  }
+  co_return Connection;
+}
+
+awaitable<void> home_runner::runOnWorker(job_ptr Job) {
+  const mesh_call &Call = Job->Call;
+  std::shared_ptr<worker_connection> Connection =
+      co_await connection(Call.Idempotent);
+  instant Now = currentTime();
+  // The backend server may have been replaced while the call waited.
+  bool Sendable =
+      Connection && isFor(Call) && !Job->Cancel.raised() && Now < Call.Deadline;
+  if (!Sendable) {
+    if (Connection)
+      keep(std::move(Connection));
+    apply(Queue.releaseUnused(Now));
+    co_return refuse(*Job, "the backend server could not be sent the call");
+  }
+  header_list Fields = Call.Fields;
+  Dialect.addForWorker(
+      Fields, Call,
+      std::chrono::duration_cast<milliseconds>(Call.Deadline - Now));
+  // Work that must not be repeated is worth finishing without its caller.
+  cancel_signal Cancel = Call.Idempotent ? Job->Cancel : cancel_signal();
+  mesh_answer Answer = co_await Connection->exchange(
+      Call, Fields, Dialect, Call.Deadline + LastWordTime, Cancel);
+  instant Ended = currentTime();
+  keep(std::move(Connection));
+  noteEnd(*Job, Answer, Ended - Now, Ended);
+  finish(*Job, std::move(Answer));
+}
+
+void home_runner::noteEnd(const job &Job, const mesh_answer &Answer,
+                          microseconds Duration, instant Now) {
+  bool BrokenOff = Job.Cancel.raised() && Answer.Status == 0;
+  bool Refused = Answer.Outcome == attempt_outcome::server_refused;
+  if (Refused)
+    Queue.serverWasFull(Now);
+  if (BrokenOff || Refused) {
+    apply(Queue.releaseUnused(Now));
+    return;
+  }
+  bool Failed = Answer.Outcome != attempt_outcome::answered;
+  Failures.record(Failed, Now);
+  Evidence[Job.Call.Route].record(Failed, Duration);
+  apply(Queue.release(Job.Call.Route, Duration, Now));
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/home_runner.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <unordered_map>
+
+#include "membership/worker_reports.h"
+#include "mesh/cancel_signal.h"
+#include "mesh/one_shot.h"
+#include "mesh/worker_exchange.h"
+#include "moves/evidence.h"
+#include "routing/slot_queue.h"
+
+namespace chivebeam {
+
+/// Lets the backend server beside this node run calls: the only door to it.
+/// Keeps its slots, queues what has to wait and refuses what can't be served.
+/// Runs on one io_context; not thread safe.
+class home_runner {
+public:
+  using reply = std::function<void(mesh_answer)>;
+
+  /// \pre Context and Dialect outlive the runner.
+  home_runner(asio::io_context &Context, const call_dialect &Dialect);
+
+  /// Tells which backend server is beside this node and what it said last.
+  void follow(const worker_report &Report);
+  /// Hands waiting calls back as not run and takes no more.
+  void stop();
+
+  /// Runs a call; Reply is called once. The signal breaks an idempotent call
+  /// off; one that is not is left to end by itself once it was sent.
+  void run(mesh_call Call, const cancel_signal &Cancel, reply Reply);
+
+  home_load load() const;
+  std::size_t active() const { return Active; }
+  /// Returns what this node has counted for its backend server so far.
+  const evidence_by_route &evidence() const { return Evidence; }
+  std::uint64_t connectionsOpened() const { return ConnectionsOpened; }
+
+private:
+  /// One call on its way through the runner.
+  struct job {
+    mesh_call Call;
+    cancel_signal Cancel;
+    reply Reply;
+    call_number Number;
+    bool HoldsSlot = false;
+  };
+  using job_ptr = std::shared_ptr<job>;
+
+  awaitable<void> serve(job_ptr Job);
+  awaitable<bool> waitForSlot(job_ptr Job);
+  awaitable<void> runOnWorker(job_ptr Job);
+  awaitable<std::shared_ptr<worker_connection>> connection(bool Idempotent);
+  std::shared_ptr<worker_connection> takeIdle(microseconds MaxIdle);
+  void keep(std::shared_ptr<worker_connection> Connection);
+  bool isFor(const mesh_call &Call) const;
+  void finish(const job &Job, mesh_answer Answer);
+  void refuse(const job &Job, std::string Reason);
+  void noteEnd(const job &Job, const mesh_answer &Answer, microseconds Duration,
+               instant Now);
+  void apply(const slot_change &Change);
+
+  static constexpr microseconds FailureHalfLife{2'000'000};
+
+  asio::io_context &Context;
+  const call_dialect &Dialect;
+  std::optional<worker_report> Worker;
+  bool Stopping = false;
+  slot_queue Queue;
+  std::unordered_map<std::uint64_t, one_shot<bool>> Waiting;
+  std::vector<std::shared_ptr<worker_connection>>
+      Idle; ///< used last at the end
+  recent_share Failures{FailureHalfLife};
+  evidence_by_route Evidence;
+  instant UnreachableUntil;
+  std::uint64_t NextNumber = 0;
+  std::uint64_t ConnectionsOpened = 0;
+  std::size_t Active = 0;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -0,0 +1,335 @@
+// GCC 12 takes the inlined frame allocation of coroutines for another
+// allocator's.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "mesh/mesh_node.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include <time.h>
+
+#include "net/clock.h"
+#include "telemetry/log_event.h"
+#include "telemetry/log_writer.h"
+
+namespace chivebeam {
+
+namespace {
+
+constexpr milliseconds TickInterval{100};
+/// A node without the store asks its peers so often for what it lacks.
+constexpr milliseconds AskInterval{300};
+/// Nodes whose entries vanished are asked so often whether they live.
+constexpr milliseconds DoubtfulPingInterval{500};
+/// Callers leave a node within two missed questions, a second apart.
+constexpr milliseconds CallersLeave{2'600};
+/// The last part of the grace period is kept for the end itself.
+constexpr int GracePartsUsed = 5;
+constexpr int GraceParts = 6;
+/// The node ends once nothing has been under way for so long.
+constexpr milliseconds QuietBeforeEnd{300};
+/// Time that passed unnoticed by the steady clock: the process was suspended.
+constexpr milliseconds SuspensionNoticed{300};
+/// Part of the memory that bodies of requests may take.
+constexpr std::uint64_t BodyMemoryDivisor = 4;
+constexpr std::size_t MaxControlBody = 4 << 10;
+/// Descriptors that are kept from callers' connections for everything else.
+constexpr unsigned ReservedDescriptors = 500;
+constexpr milliseconds AcceptRetryDelay{20};
+
+microseconds clockNow(clockid_t Clock) {
+  timespec Time{};
+  ::clock_gettime(Clock, &Time);
+  return std::chrono::duration_cast<microseconds>(
+      seconds(Time.tv_sec) + std::chrono::nanoseconds(Time.tv_nsec));
+}
+
+/// How long this machine has been suspended since it started.
+microseconds suspendedTime() {
+  return clockNow(CLOCK_BOOTTIME) - clockNow(CLOCK_MONOTONIC);
+}
+
+http_response plainAnswer(http::status Status, std::string Text) {
+  http_response Response(Status, 11);
+  Response.set(http::field::content_type, "text/plain; version=0.0.4");
+  Response.body() = std::move(Text);
+  return Response;
+}
+
+} // namespace
+
+mesh_node::mesh_node(asio::io_context &IoContext, mesh_settings NodeSettings,
+                     mesh_parts NodeParts)
+    : Settings(std::move(NodeSettings)), Parts(std::move(NodeParts)),
+      Context(IoContext), Signals(Context, SIGTERM, SIGINT, SIGHUP),
+      State(Settings, *Parts.Orders), Home(Context, *Parts.Calls),
+      Hub(Context, State),
+      Router(Context, Settings, *Parts.Calls, State, Home, Hub, Metrics),
+      OrderStore(Parts.OpenStore(Settings.Store)),
+      MeshStore(Parts.OpenStore(Settings.Store)),
+      CallStore(Parts.OpenStore(Settings.Store)),
+      Registrar(Context, *CallStore, Settings),
+      Workers(Context, Settings, *Parts.Workers, Home, State, Hub, Registrar),
+      Moves(Context, *CallStore, Settings, *Parts.Orders, State, Hub),
+      OrderListener(*Parts.Orders, State, Moves),
+      MeshListener(Settings, State, Moves, Workers, Registrar),
+      OrderFeed(*OrderStore, Parts.Orders->prefix(), OrderListener),
+      MeshFeed(*MeshStore, mesh_keys::prefix(), MeshListener),
+      Sessions{Router, *Parts.Calls, State, Metrics,
+               body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
+      CallerAcceptor(Context), PeerAcceptor(Context),
+      Readiness(Context, MaxControlBody,
+                [this](const http_request &,
+                       const address &) -> awaitable<http_response> {
+                  co_return plainAnswer(isReady()
+                                            ? http::status::ok
+                                            : http::status::service_unavailable,
+                                        "");
+                }),
+      MetricsService(Context, MaxControlBody,
+                     [this](const http_request &,
+                            const address &) -> awaitable<http_response> {
+                       co_return plainAnswer(http::status::ok, metricsText());
+                     }),
+      SuspendedBefore(suspendedTime()) {
+  State.onChange([this] { viewChanged(); });
+  State.onEvidence(
+      [this](const evidence_report &Report) { Moves.takeEvidence(Report); });
+}
+
+result<void> mesh_node::listen() {
+  auto Keep = [](address &Where, const result<address> &Bound) {
+    if (Bound)
+      Where = *Bound;
+    return Bound;
+  };
+  for (const result<address> &Bound :
+       {Keep(Settings.Peers, openAcceptor(PeerAcceptor, Settings.Peers)),
+        Keep(Settings.Callers, openAcceptor(CallerAcceptor, Settings.Callers)),
+        Keep(Settings.Readiness, Readiness.listen(Settings.Readiness)),
+        Keep(Settings.WorkerReports, Workers.listen())})
+    if (!Bound)
+      return tl::unexpected(Bound.error());
+  if (Settings.Metrics.Ip.empty())
+    return {};
+  result<address> Bound = MetricsService.listen(Settings.Metrics);
+  return Bound ? result<void>() : tl::unexpected(Bound.error());
+}
+
+result<void> mesh_node::start(stop_handler StopHandler) {
+  OnStopped = std::move(StopHandler);
+  if (result<void> Bound = listen(); !Bound)
+    return Bound;
+  State.setOwn(State.ownRecord());
+  log_event("node_started")
+      .add("node", Settings.Node)
+      .add("domain", Settings.Domain)
+      .add("service", Settings.Service)
+      .add("callers", Settings.Callers.text())
+      .add("peers", Settings.Peers.text())
+      .add("store", Settings.Store.text());
+  Registrar.publish(State.ownRecord());
+  asio::co_spawn(Context, OrderFeed.run(), asio::detached);
+  asio::co_spawn(Context, MeshFeed.run(), asio::detached);
+  asio::co_spawn(Context, Registrar.run(), asio::detached);
+  asio::co_spawn(Context, ticks(), asio::detached);
+  asio::co_spawn(Context,
+                 acceptLoop(CallerAcceptor,
+                            [this](tcp::socket Socket) {
+                              openSession(std::move(Socket));
+                            }),
+                 asio::detached);
+  asio::co_spawn(Context,
+                 acceptLoop(PeerAcceptor,
+                            [this](tcp::socket Socket) {
+                              tuneNodeSocket(Socket);
+                              std::make_shared<peer_session>(std::move(Socket),
+                                                             Home, State)
+                                  ->start();
+                            }),
+                 asio::detached);
+  awaitSignal();
+  return {};
+}
+
+bool mesh_node::isReady() const { return !Stopping && State.hasConfig(); }
+
+awaitable<void> mesh_node::acceptLoop(tcp::acceptor &Acceptor,
+                                      accept_handler Handler) {
+  while (Acceptor.is_open()) {
+    error_code Code;
+    tcp::socket Socket = co_await Acceptor.async_accept(orError(Code));
+    if (Code == asio::error::operation_aborted)
+      co_return;
+    if (!Code) {
+      Handler(std::move(Socket));
+      continue;
+    }
+    log_event("accept_failed").add("error", Code.message());
+    co_await sleepFor(AcceptRetryDelay);
+  }
+}
+
+void mesh_node::openSession(tcp::socket Socket) {
+  error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  // A caller's new call goes before an old connection that may be idle.
+  if (OpenSessions.size() + ReservedDescriptors >= Settings.MaxDescriptors) {
+    Metrics.count("sessions_crowded");
+    for (consumer_session *Session : OpenSessions)
+      Session->closeIfIdle();
+  }
+  asio::co_spawn(Context, runSession(std::move(Socket)), asio::detached);
+}
+
+awaitable<void> mesh_node::runSession(tcp::socket Socket) {
+  consumer_session Session(Sessions, std::move(Socket));
+  OpenSessions.insert(&Session);
+  co_await Session.run();
+  OpenSessions.erase(&Session);
+}
+
+void mesh_node::viewChanged() {
+  std::vector<home_record> Others = State.knownRecords();
+  std::erase_if(Others, [this](const home_record &Record) {
+    return Record.Node == Settings.Node;
+  });
+  Hub.follow(Others);
+  Router.viewChanged();
+}
+
+awaitable<void> mesh_node::ticks() {
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    Timer.expires_after(TickInterval);
+    error_code Ignored;
+    co_await Timer.async_wait(orError(Ignored));
+    tick(currentTime());
+  }
+}
+
+void mesh_node::tick(instant Now) {
+  followSuspension();
+  State.tick(Now);
+  Hub.tick(Now);
+  bool CutOff = !OrderFeed.inTouch() || !MeshFeed.inTouch();
+  if (CutOff && Now >= AskedAt + AskInterval) {
+    AskedAt = Now;
+    Hub.askAround();
+  }
+  if (Now >= PingedAt + DoubtfulPingInterval) {
+    PingedAt = Now;
+    for (const node_id &Node : State.directory().doubtful())
+      Hub.ping(Node);
+  }
+  reportEvidence();
+  Moves.tick(Now, Registrar.lease());
+}
+
+void mesh_node::followSuspension() {
+  microseconds Suspended = suspendedTime();
+  microseconds Missed = Suspended - SuspendedBefore;
+  SuspendedBefore = Suspended;
+  if (Missed < SuspensionNoticed)
+    return;
+  log_event("suspended").add("for_ms", Missed.count() / 1'000);
+  OrderFeed.refresh();
+  MeshFeed.refresh();
+}
+
+void mesh_node::reportEvidence() {
+  if (Home.evidence() == Reported)
+    return;
+  Reported = Home.evidence();
+  const worker_record Own = State.ownRecord().Worker;
+  Moves.report(Own.Service, Own.Version, Reported);
+}
+
+void mesh_node::awaitSignal() {
+  Signals.async_wait([this](error_code Code, int Number) {
+    if (Code)
+      return;
+    if (Number == SIGHUP)
+      reload("SIGHUP");
+    else
+      beginStop();
+    awaitSignal();
+  });
+}
+
+void mesh_node::reload(std::string_view Why) {
+  checked<mesh_settings> Read = Parts.ReadSettings();
+  if (!Read) {
+    log_event("settings_refused")
+        .add("why", Why)
+        .add("error", Read.error().front().text());
+    return;
+  }
+  // Addresses and names are those of the process; the rest may change.
+  Settings.Service = Read->Service;
+  Settings.ReportInterval = Read->ReportInterval;
+  Settings.Grace = Read->Grace;
+  Settings.Repeats = Read->Repeats;
+  log_event("settings_reloaded")
+      .add("why", Why)
+      .add("service", Settings.Service);
+}
+
+void mesh_node::beginStop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  Sessions.Draining = true;
+  log_event("node_stopping")
+      .add("node", Settings.Node)
+      .add("open_calls", Router.openCalls())
+      .add("running_calls", Home.active());
+  Workers.leave();
+  Home.stop();
+  asio::co_spawn(Context, Registrar.withdraw(), asio::detached);
+  asio::co_spawn(Context, stop(), asio::detached);
+}
+
+awaitable<void> mesh_node::stop() {
+  instant Started = currentTime();
+  instant Latest = Started + Settings.Grace * GracePartsUsed / GraceParts;
+  co_await sleepFor(std::min<microseconds>(CallersLeave, Latest - Started));
+  instant QuietSince;
+  while (currentTime() < Latest) {
+    for (consumer_session *Session : OpenSessions)
+      Session->closeIfIdle();
+    instant Now = currentTime();
+    bool Quiet = Router.openCalls() == 0 && Home.active() == 0;
+    if (!Quiet)
+      QuietSince = instant();
+    else if (QuietSince == instant())
+      QuietSince = Now;
+    if (Quiet && Now >= QuietSince + QuietBeforeEnd)
+      break;
+    co_await sleepFor(TickInterval);
+  }
+  log_event("node_stopped")
+      .add("node", Settings.Node)
+      .add("open_calls", Router.openCalls());
+  OnStopped();
+}
+
+std::string mesh_node::metricsText() {
+  home_load Load = Home.load();
+  Metrics.set("home_running", Load.Running);
+  Metrics.set("home_waiting", Load.Waiting);
+  Metrics.set("home_limit", Load.Limit);
+  Metrics.set("open_calls", static_cast<double>(Router.openCalls()));
+  Metrics.set("open_sessions", static_cast<double>(OpenSessions.size()));
+  Metrics.set("open_links", static_cast<double>(Hub.openLinks()));
+  Metrics.set("config_number",
+              static_cast<double>(State.configNumber().value()));
+  Metrics.set("worker_connections_opened",
+              static_cast<double>(Home.connectionsOpened()));
+  Metrics.set("log_lines_dropped",
+              static_cast<double>(log_writer::instance().dropped()));
+  return Metrics.text();
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <set>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "mesh/consumer_session.h"
+#include "mesh/feed_listeners.h"
+#include "mesh/peer_session.h"
+
+namespace chivebeam {
+
+/// What a node of a mesh is put together from: how the outside world speaks.
+struct mesh_parts {
+  std::unique_ptr<call_dialect> Calls;
+  std::unique_ptr<worker_dialect> Workers;
+  std::unique_ptr<order_source> Orders;
+  /// One connection's worth of the store; each feed has its own.
+  std::function<std::unique_ptr<config_store>(const address &)> OpenStore;
+  /// Reads the settings anew; an error leaves the present ones in force.
+  std::function<checked<mesh_settings>()> ReadSettings;
+};
+
+/// One running node of a mesh. All duties that a call passes through run on
+/// one thread; only log lines are written by another. Not thread safe.
+class mesh_node {
+public:
+  using stop_handler = std::function<void()>;
+
+  /// \pre Context outlives the node's work, and the node outlives Context's.
+  mesh_node(asio::io_context &Context, mesh_settings Settings,
+            mesh_parts Parts);
+
+  /// Binds every address and begins to work; port 0 asks the kernel for one.
+  /// OnStopped is called when the node has stopped.
+  result<void> start(stop_handler OnStopped);
+  /// Stops gracefully, as after SIGTERM.
+  void beginStop();
+  const mesh_settings &settings() const { return Settings; }
+  bool isReady() const;
+
+private:
+  using accept_handler = std::function<void(tcp::socket)>;
+
+  result<void> listen();
+  awaitable<void> acceptLoop(tcp::acceptor &Acceptor, accept_handler Handler);
+  void openSession(tcp::socket Socket);
+  awaitable<void> runSession(tcp::socket Socket);
+  awaitable<void> ticks();
+  void tick(instant Now);
+  void followSuspension();
+  void reportEvidence();
+  void viewChanged();
+  void awaitSignal();
+  void reload(std::string_view Why);
+  awaitable<void> stop();
+  std::string metricsText();
+
+  mesh_settings Settings;
+  mesh_parts Parts;
+  asio::io_context &Context;
+  asio::signal_set Signals;
+  mesh_metrics Metrics;
+  mesh_state State;
+  home_runner Home;
+  peer_hub Hub;
+  entry_router Router;
+  std::unique_ptr<config_store> OrderStore;
+  std::unique_ptr<config_store> MeshStore;
+  std::unique_ptr<config_store> CallStore;
+  node_registrar Registrar;
+  worker_desk Workers;
+  move_desk Moves;
+  order_listener OrderListener;
+  mesh_listener MeshListener;
+  store_feed OrderFeed;
+  store_feed MeshFeed;
+  session_context Sessions;
+  tcp::acceptor CallerAcceptor;
+  tcp::acceptor PeerAcceptor;
+  http_service Readiness;
+  http_service MetricsService;
+  std::set<consumer_session *> OpenSessions;
+  evidence_by_route Reported;
+  instant AskedAt;
+  instant PingedAt;
+  microseconds SuspendedBefore{0};
+  stop_handler OnStopped;
+  bool Stopping = false;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <functional>
+
+#include "membership/home_directory.h"
+#include "mesh/mesh_settings.h"
+#include "mesh/order_source.h"
+#include "mesh/peer_words.h"
+#include "routing/mesh_view.h"
+
+namespace chivebeam {
+
+/// Everything that a node of a mesh believes: the newest configuration, the
+/// home nodes and the moves. Whatever the source, a belief is only replaced by
+/// a newer one. Runs on one io_context; not thread safe.
+class mesh_state final : public peer_words {
+public:
+  using evidence_handler = std::function<void(const evidence_report &)>;
+  using change_handler = std::function<void()>;
+
+  /// \pre Settings and Orders outlive the state.
+  mesh_state(const mesh_settings &Settings, const order_source &Orders);
+
+  /// Called after each change of the view.
+  void onChange(change_handler Handler) { OnChange = std::move(Handler); }
+  void onEvidence(evidence_handler Handler) { OnEvidence = std::move(Handler); }
+
+  /// Everything a call needs; null before the first configuration.
+  const fleet_view_ptr &view() const { return View; }
+  bool hasConfig() const { return Config != nullptr; }
+  const service_moves &moves() const { return Moves; }
+  home_directory &directory() { return Directory; }
+
+  /// What the home node says of itself changed; gives it the next change
+  /// number and takes it in.
+  void setOwn(home_record Record);
+  /// Takes in a record that the store holds.
+  void takeStored(const home_record &Record);
+  void vanished(const node_id &Node);
+  /// Notes all nodes that a listing of the store showed.
+  void keepOnly(const std::vector<node_id> &Nodes);
+  /// Removes what is gone. Called several times a second.
+  void tick(instant Now);
+
+  home_record ownRecord() const override { return Own; }
+  std::vector<home_record> knownRecords() const override;
+  std::vector<service_move> knownMoves() const override;
+  config_number configNumber() const override;
+  shared_body configText() const override { return ConfigText; }
+  void takeRecords(const std::vector<home_record> &Records) override;
+  void takeConfig(config_number Number, const shared_body &Text) override;
+  void takeEvidence(const evidence_report &Report) override;
+  void takeMove(const service_move &Move) override;
+  void heardFrom(const node_id &Node) override;
+
+private:
+  void rebuild();
+  bool offer(const home_record &Record, bool FromStore);
+  void join(service_move &Known, const move_progress &Progress);
+
+  const mesh_settings &Settings;
+  const order_source &Orders;
+  home_record Own;
+  snapshot_ptr Config;
+  shared_body ConfigText;
+  config_number RefusedConfig; ///< the newest that could not be compiled
+  home_directory Directory;
+  service_moves Moves;
+  fleet_view_ptr View;
+  change_handler OnChange;
+  evidence_handler OnEvidence;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/move_desk.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <map>
+
+#include "mesh/mesh_records.h"
+#include "mesh/mesh_state.h"
+#include "mesh/peer_hub.h"
+#include "moves/order_conductor.h"
+#include "store/config_store.h"
+
+namespace chivebeam {
+
+/// Carries out the operator's orders to move services to other versions. One
+/// node conducts them, chosen by a key in the store; all others send it what
+/// their backend servers do. What it decides goes to all nodes at once and to
+/// the store. Runs on one io_context; not thread safe.
+class move_desk {
+public:
+  /// \pre everything outlives the desk.
+  move_desk(asio::io_context &Context, config_store &Store,
+            const mesh_settings &Settings, const order_source &Orders,
+            mesh_state &State, peer_hub &Hub);
+
+  /// Takes in what the store holds.
+  void takeOrder(const move_order &Order, store_revision At);
+  void takeMove(const service_move &Move, store_revision At);
+  void takeConductor(const node_id &Node);
+  void conductorVanished() { Conductor = node_id(); }
+  void takeEvidence(const evidence_report &Report);
+
+  /// Decides what is due. Called several times a second with the lease of this
+  /// node.
+  void tick(instant Now, lease_id Lease);
+  /// Sends the conductor what this node has counted, if a move of the service
+  /// is under way.
+  void report(const service_name &Service, const version_name &Version,
+              const evidence_by_route &Evidence);
+
+private:
+  struct ordered_move {
+    move_order Order;
+    store_revision At;     ///< of the order
+    store_revision MoveAt; ///< of the move's key; zero: it does not exist
+    bool Busy = false;     ///< a write is under way
+    bool Running = false;  ///< the operator has read that it is under way
+    move_progress Written; ///< what the store holds
+  };
+
+  bool isConductor() const { return Conductor == Settings.Node; }
+  /// True if the order has no verdict yet.
+  bool isOpen(const ordered_move &Move) const;
+  bool anyOpen() const;
+  awaitable<void> claim(lease_id Lease);
+  void conduct(ordered_move &Move, instant Now);
+  void spread(const service_move &Move);
+  awaitable<void> save(service_name Service);
+  awaitable<void> tell(service_name Service, move_verdict Verdict);
+  /// Writes a move, if nobody else has. Returns whether the store holds it.
+  awaitable<bool> commit(service_name Service, service_move Move,
+                         std::optional<store_put> Status);
+
+  asio::io_context &Context;
+  config_store &Store;
+  const mesh_settings &Settings;
+  const order_source &Orders;
+  mesh_state &State;
+  peer_hub &Hub;
+  std::unique_ptr<move_judge> Judge;
+  move_decider Decider;
+  order_conductor Moves;
+  std::map<service_name, ordered_move> Ordered;
+  node_id Conductor;
+  bool Claiming = false;
+  instant ClaimAt;
+  incarnation Life; ///< tells the reports of this process from earlier ones
+  std::uint64_t ReportSequence = 0;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/node_registrar.cpp
@@ -0,0 +1,145 @@
+// GCC 12 takes the inlined frame allocation of coroutines for another
+// allocator's.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "mesh/node_registrar.h"
+
+#include "mesh/one_shot.h"
+#include "net/clock.h"
+#include "telemetry/log_event.h"
+
+namespace chivebeam {
+
+namespace {
+
+/// A dead node's record is gone after so long. Calls find out much sooner.
+constexpr seconds LeaseTime{3};
+/// The lease is renewed three times in its life.
+constexpr milliseconds KeepInterval{1'000};
+constexpr milliseconds RetryInterval{150};
+/// A backend server waits a second for its acknowledgement.
+constexpr milliseconds LeavingWriteLimit{400};
+
+} // namespace
+
+node_registrar::node_registrar(asio::io_context &Context,
+                               config_store &NodeStore,
+                               const mesh_settings &MeshSettings)
+    : Store(NodeStore), Settings(MeshSettings), Wake(Context) {}
+
+void node_registrar::publish(const home_record &Record) {
+  Wanted = Record;
+  Dirty = true;
+  Wake.cancel();
+}
+
+void node_registrar::noteStored(store_revision Stored) {
+  if (Writing)
+    return;
+  bool Lost = Stored.value() == 0 && Revision.value() != 0;
+  Revision = Stored;
+  if (Lost) {
+    Dirty = true;
+    Wake.cancel();
+  }
+}
+
+awaitable<bool> node_registrar::ensureLease() {
+  if (Lease.value() != 0)
+    co_return true;
+  result<lease_id> Granted = co_await Store.grantLease(LeaseTime);
+  if (!Granted)
+    co_return false;
+  Lease = *Granted;
+  KeptAt = currentTime();
+  Dirty = true;
+  co_return true;
+}
+
+awaitable<void> node_registrar::readBack() {
+  result<range_answer> Answer =
+      co_await Store.range(mesh_keys::home(Settings.Node), false);
+  if (!Answer)
+    co_return;
+  Revision = Answer->Entries.empty() ? store_revision()
+                                     : Answer->Entries.front().ModifiedAt;
+}
+
+awaitable<void> node_registrar::write() {
+  Dirty = false;
+  Writing = true;
+  std::string Key = mesh_keys::home(Settings.Node);
+  store_transaction Change;
+  Change.Conditions.push_back({Key, Revision});
+  Change.Puts.push_back({Key, writeHomeRecord(Wanted, currentTime()), Lease});
+  result<transaction_answer> Answer = co_await Store.commit(std::move(Change));
+  if (Answer && Answer->Succeeded) {
+    Revision = Answer->Revision;
+    Writing = false;
+    co_return;
+  }
+  Dirty = true;
+  // Without its lease the key can't be written; the next one is asked for.
+  if (!Answer && Answer.error().Kind == error_kind::not_found)
+    Lease = lease_id();
+  else
+    co_await readBack();
+  Writing = false;
+}
+
+awaitable<void> node_registrar::keepLease() {
+  if (currentTime() < KeptAt + KeepInterval)
+    co_return;
+  instant Asked = currentTime();
+  result<bool> Kept = co_await Store.keepLease(Lease);
+  if (!Kept)
+    co_return;
+  KeptAt = Asked;
+  if (*Kept)
+    co_return;
+  log_event("lease_lapsed").add("lease", Lease);
+  Lease = lease_id();
+  Revision = store_revision();
+}
+
+awaitable<void> node_registrar::run() {
+  while (!Withdrawn) {
+    bool Leased = co_await ensureLease();
+    if (Leased && Dirty)
+      co_await write();
+    if (Leased && Lease.value() != 0)
+      co_await keepLease();
+    bool Retry = Lease.value() == 0 || Dirty;
+    Wake.expires_after(Retry ? RetryInterval : KeepInterval);
+    error_code Ignored;
+    co_await Wake.async_wait(orError(Ignored));
+  }
+}
+
+awaitable<bool> node_registrar::persistLeaving(const home_record &Record) {
+  auto Executor = co_await asio::this_coro::executor;
+  one_shot<bool> Done(Executor);
+  auto Write = [](config_store &Store, std::string Key, std::string Text,
+                  one_shot<bool> Done) -> awaitable<void> {
+    store_transaction Change;
+    Change.Puts.push_back({std::move(Key), std::move(Text), lease_id()});
+    result<transaction_answer> Answer =
+        co_await Store.commit(std::move(Change));
+    Done.set(Answer && Answer->Succeeded);
+  };
+  asio::co_spawn(Executor,
+                 Write(Store, mesh_keys::leaving(Settings.Node),
+                       writeHomeRecord(Record, currentTime()), Done),
+                 asio::detached);
+  std::optional<bool> Stored = co_await Done.wait(LeavingWriteLimit);
+  co_return Stored.value_or(false);
+}
+
+awaitable<void> node_registrar::withdraw() {
+  Withdrawn = true;
+  Wake.cancel();
+  if (Lease.value() != 0)
+    co_await Store.revokeLease(Lease);
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/peer_hub.cpp
@@ -0,0 +1,82 @@
+#include "mesh/peer_hub.h"
+
+#include <algorithm>
+#include <set>
+
+namespace chivebeam {
+
+namespace {
+
+/// Nodes that are asked at a time.
+constexpr std::size_t AskedAtOnce = 2;
+
+} // namespace
+
+void peer_hub::follow(const std::vector<home_record> &Records) {
+  std::set<node_id> Present;
+  for (const home_record &Record : Records) {
+    Present.insert(Record.Node);
+    std::shared_ptr<peer_link> &Link = Links[Record.Node];
+    if (Link && Link->peer() == Record.Peer)
+      continue;
+    if (Link)
+      Link->close();
+    Link =
+        std::make_shared<peer_link>(Context, Record.Node, Record.Peer, Words);
+  }
+  std::erase_if(Links, [&](const auto &Item) {
+    bool Gone = !Present.contains(Item.first);
+    if (Gone)
+      Item.second->close();
+    return Gone;
+  });
+}
+
+void peer_hub::call(const node_id &Node, mesh_call Call,
+                    const cancel_signal &Cancel, peer_link::reply Reply) {
+  auto Found = Links.find(Node);
+  if (Found != Links.end())
+    return Found->second->call(std::move(Call), Cancel, std::move(Reply));
+  mesh_answer Answer =
+      noAnswer(attempt_outcome::not_sent, "its home node is unknown");
+  Answer.Unreachable = true;
+  Reply(std::move(Answer));
+}
+
+void peer_hub::broadcast(const peer_frame &Frame) {
+  for (auto &[Node, Link] : Links)
+    Link->tell(Frame);
+}
+
+void peer_hub::tell(const node_id &Node, const peer_frame &Frame) {
+  if (auto Found = Links.find(Node); Found != Links.end())
+    Found->second->tell(Frame);
+}
+
+void peer_hub::ping(const node_id &Node) {
+  if (auto Found = Links.find(Node); Found != Links.end())
+    Found->second->ping();
+}
+
+void peer_hub::askAround() {
+  std::size_t Count = std::min(AskedAtOnce, Links.size());
+  for (std::size_t Asked = 0; Asked < Count; ++Asked) {
+    auto Position = Links.begin();
+    std::advance(Position, NextAsked++ % Links.size());
+    Position->second->tell(frame(frame_kind::config_query));
+    Position->second->tell(frame(frame_kind::records_query));
+  }
+}
+
+void peer_hub::tick(instant Now) {
+  for (auto &[Node, Link] : Links)
+    Link->tick(Now);
+}
+
+std::size_t peer_hub::openLinks() const {
+  return static_cast<std::size_t>(
+      std::count_if(Links.begin(), Links.end(),
+                    [](const auto &Item) { return Item.second->isOpen(); }));
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/peer_hub.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+
+#include "mesh/peer_link.h"
+
+namespace chivebeam {
+
+/// The links of this node to all other nodes of the mesh. Runs on one
+/// io_context; not thread safe.
+class peer_hub {
+public:
+  /// \pre Context and Words outlive the hub.
+  peer_hub(asio::io_context &Context, peer_words &Words)
+      : Context(Context), Words(Words), Exchange(Words) {}
+
+  /// Keeps links to exactly these nodes. \pre the own node is not among them.
+  void follow(const std::vector<home_record> &Records);
+  /// Sends a call to a node; it is not sent if the node is unknown.
+  void call(const node_id &Node, mesh_call Call, const cancel_signal &Cancel,
+            peer_link::reply Reply);
+  void broadcast(const peer_frame &Frame);
+  void tell(const node_id &Node, const peer_frame &Frame);
+  void ping(const node_id &Node);
+  /// Asks a few nodes, in turn, for what a node that is cut off from the store
+  /// may lack.
+  void askAround();
+  peer_frame frame(frame_kind Kind) const { return Exchange.frame(Kind); }
+  void broadcastMove(const service_move &Move) {
+    broadcast(Exchange.moveFrame(Move));
+  }
+  void tick(instant Now);
+  std::size_t openLinks() const;
+
+private:
+  asio::io_context &Context;
+  peer_words &Words;
+  word_exchange Exchange;
+  std::map<node_id, std::shared_ptr<peer_link>> Links;
+  std::size_t NextAsked = 0;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -0,0 +1,198 @@
+// GCC 12 takes the inlined frame allocation of coroutines for another
+// allocator's.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "mesh/peer_link.h"
+
+#include "net/clock.h"
+#include "telemetry/log_event.h"
+
+namespace chivebeam {
+
+namespace {
+
+/// Many round trips between failure domains; a lost opening packet is not
+/// waited for.
+constexpr milliseconds ConnectTimeout{400};
+constexpr microseconds MinBackoff = milliseconds(100);
+constexpr microseconds MaxBackoff = milliseconds(800);
+/// With calls under way, a peer that was silent for PingAfter is asked for a
+/// sign of life, and given up when none has come after SilenceLimit. A busy
+/// node answers late: its processor may stand still for a tenth of a second.
+constexpr milliseconds PingAfter{150};
+constexpr milliseconds SilenceLimit{600};
+
+} // namespace
+
+peer_link::peer_link(asio::io_context &IoContext, node_id PeerNode,
+                     address PeerAddress, peer_words &PeerWords)
+    : Context(IoContext), Node(std::move(PeerNode)),
+      Peer(std::move(PeerAddress)), Words(PeerWords), Exchange(PeerWords) {}
+
+void peer_link::open() {
+  if (Opening || Closed || isOpen())
+    return;
+  Opening = true;
+  asio::co_spawn(Context, connect(), asio::detached);
+}
+
+awaitable<void> peer_link::connect() {
+  std::shared_ptr<peer_link> Self = shared_from_this();
+  auto Socket = std::make_shared<tcp::socket>(Context);
+  asio::steady_timer Timer(Context, ConnectTimeout);
+  Timer.async_wait([Socket](error_code Code) {
+    error_code Ignored;
+    if (!Code)
+      Socket->close(Ignored);
+  });
+  error_code Code;
+  co_await Socket->async_connect(toTcp(Peer), orError(Code));
+  bool InTime = Timer.cancel() > 0;
+  Opening = false;
+  if (Closed)
+    co_return;
+  if (Code || !InTime) {
+    Backoff = std::clamp(Backoff * 2, MinBackoff, MaxBackoff);
+    RetryAt = currentTime() + Backoff;
+    failPending("its home node can't be reached");
+    co_return;
+  }
+  Backoff = microseconds(0);
+  PingOpen = false;
+  tuneNodeSocket(*Socket);
+  Channel = std::make_shared<frame_channel>(std::move(*Socket));
+  std::weak_ptr<peer_link> Weak = Self;
+  Channel->start(
+      [Weak](peer_frame Frame) {
+        if (auto Link = Weak.lock())
+          Link->onFrame(std::move(Frame));
+      },
+      [Weak] {
+        if (auto Link = Weak.lock())
+          Link->onClosed();
+      });
+  Exchange.greet(*Channel);
+  for (auto &[Number, Waiting] : Pending)
+    sendCall(Number, Waiting);
+}
+
+void peer_link::sendCall(std::uint64_t Number, pending_call &Waiting) {
+  peer_frame Frame = Exchange.frame(frame_kind::call);
+  Frame.Call = Number;
+  Frame.Request = std::move(Waiting.Call);
+  Waiting.Sent = true;
+  Channel->send(Frame);
+}
+
+void peer_link::call(mesh_call Call, const cancel_signal &Cancel, reply Reply) {
+  if (!isOpen() && (Closed || (!Opening && currentTime() < RetryAt))) {
+    mesh_answer Answer =
+        noAnswer(attempt_outcome::not_sent, "its home node can't be reached");
+    Answer.Unreachable = true;
+    asio::post(Context, [Reply = std::move(Reply), Answer = std::move(Answer)] {
+      Reply(Answer);
+    });
+    return;
+  }
+  std::uint64_t Number = ++NextCall;
+  Cancel.onRaise([Weak = weak_from_this(), Number] {
+    if (auto Link = Weak.lock())
+      Link->cancel(Number);
+  });
+  pending_call &Waiting = Pending[Number];
+  Waiting.Call = std::move(Call);
+  Waiting.Reply = std::move(Reply);
+  if (isOpen())
+    sendCall(Number, Waiting);
+  else
+    open();
+}
+
+void peer_link::cancel(std::uint64_t Number) {
+  auto Found = Pending.find(Number);
+  if (Found == Pending.end())
+    return;
+  if (Found->second.Sent) {
+    peer_frame Frame = Exchange.frame(frame_kind::cancel);
+    Frame.Call = Number;
+    tell(Frame);
+  }
+  Pending.erase(Found);
+}
+
+void peer_link::tell(const peer_frame &Frame) {
+  if (isOpen())
+    Channel->send(Frame);
+}
+
+void peer_link::ping() {
+  if (!isOpen())
+    return open();
+  if (PingOpen)
+    return;
+  PingOpen = true;
+  PingedAt = currentTime();
+  Channel->send(Exchange.frame(frame_kind::ping));
+}
+
+void peer_link::onFrame(peer_frame Frame) {
+  PingOpen = false;
+  Words.heardFrom(Node);
+  if (Exchange.take(Frame, *Channel) || Frame.Kind != frame_kind::answer)
+    return;
+  auto Found = Pending.find(Frame.Call);
+  if (Found == Pending.end())
+    return; // cancelled before
+  reply Reply = std::move(Found->second.Reply);
+  Pending.erase(Found);
+  Reply(std::move(*Frame.Answer));
+}
+
+void peer_link::onClosed() {
+  log_event("peer_link_lost")
+      .add("peer", Node)
+      .add("address", Peer.text())
+      .add("open_calls", Pending.size());
+  Channel.reset();
+  failPending("the connection to its home node broke");
+}
+
+void peer_link::failPending(std::string_view Reason) {
+  auto Failed = std::move(Pending);
+  Pending.clear();
+  for (auto &[Number, Waiting] : Failed) {
+    mesh_answer Answer = noAnswer(Waiting.Sent ? attempt_outcome::lost
+                                               : attempt_outcome::not_sent,
+                                  std::string(Reason));
+    Answer.Unreachable = true;
+    Waiting.Reply(std::move(Answer));
+  }
+}
+
+void peer_link::tick(instant Now) {
+  if (!isOpen()) {
+    if (Now >= RetryAt)
+      open();
+    return;
+  }
+  if (PingOpen && Now >= PingedAt + SilenceLimit) {
+    log_event("peer_silent")
+        .add("peer", Node)
+        .add("silent_ms", (Now - Channel->lastHeard()).count() / 1'000)
+        .add("open_calls", Pending.size());
+    RetryAt = Now + MinBackoff;
+    Channel->close();
+    return;
+  }
+  if (!Pending.empty() && Now >= Channel->lastHeard() + PingAfter)
+    ping();
+}
+
+void peer_link::close() {
+  Closed = true;
+  if (Channel)
+    Channel->close();
+  failPending("the mesh no longer knows its home node");
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/peer_link.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <unordered_map>
+
+#include "mesh/cancel_signal.h"
+#include "mesh/word_exchange.h"
+
+namespace chivebeam {
+
+/// This node's connection to one home node. Opens itself again after a
+/// failure. Calls wait while it is being opened; a peer that stays silent
+/// while calls are under way is given up. Runs on one io_context; not thread
+/// safe.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+public:
+  using reply = std::function<void(mesh_answer)>;
+
+  /// \pre Context and Words outlive the link.
+  peer_link(asio::io_context &Context, node_id Node, address Peer,
+            peer_words &Words);
+
+  const address &peer() const { return Peer; }
+  /// Sends a call; Reply is called once, unless Cancel is raised first.
+  void call(mesh_call Call, const cancel_signal &Cancel, reply Reply);
+  /// Sends a word if the link is open.
+  void tell(const peer_frame &Frame);
+  /// Asks the other side for a sign of life.
+  void ping();
+  bool isOpen() const { return Channel && Channel->isOpen(); }
+  /// Keeps the link open and finds out when the peer is silent. Called several
+  /// times a second.
+  void tick(instant Now);
+  void close();
+
+private:
+  struct pending_call {
+    mesh_call Call; ///< emptied once it is sent
+    reply Reply;
+    bool Sent = false;
+  };
+
+  void open();
+  awaitable<void> connect();
+  void onFrame(peer_frame Frame);
+  void onClosed();
+  void failPending(std::string_view Reason);
+  void sendCall(std::uint64_t Number, pending_call &Pending);
+  void cancel(std::uint64_t Number);
+
+  asio::io_context &Context;
+  node_id Node;
+  address Peer;
+  peer_words &Words;
+  word_exchange Exchange;
+  std::shared_ptr<frame_channel> Channel;
+  std::unordered_map<std::uint64_t, pending_call> Pending;
+  std::uint64_t NextCall = 0;
+  bool Opening = false;
+  bool Closed = false;
+  instant RetryAt;
+  microseconds Backoff{0};
+  instant PingedAt;
+  bool PingOpen = false;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/peer_session.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "mesh/home_runner.h"
+#include "mesh/word_exchange.h"
+
+namespace chivebeam {
+
+/// Serves one connection from another node: lets the home runner run its
+/// calls and answers its words. Calls of a connection that breaks are
+/// cancelled. Runs on one io_context; not thread safe.
+class peer_session : public std::enable_shared_from_this<peer_session> {
+public:
+  /// \pre Home and Words outlive the session.
+  peer_session(tcp::socket Socket, home_runner &Home, peer_words &Words);
+
+  /// Begins to serve; the session lives until the connection ends.
+  void start();
+
+private:
+  void onFrame(peer_frame Frame);
+  void runCall(peer_frame Frame);
+  void onClosed();
+
+  home_runner &Home;
+  word_exchange Exchange;
+  std::shared_ptr<frame_channel> Channel;
+  std::unordered_map<std::uint64_t, cancel_signal> Calls;
+  node_id Peer; ///< who is at the other end, once it has greeted
+  peer_words &Words;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/peer_words.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <vector>
+
+#include "membership/home_record.h"
+#include "mesh/mesh_call.h"
+#include "moves/evidence.h"
+#include "moves/service_move.h"
+
+namespace chivebeam {
+
+/// What nodes tell each other besides calls: who they are, which configuration
+/// they hold and how moves stand. Runs on one io_context; not thread safe.
+class peer_words {
+public:
+  virtual ~peer_words() = default;
+
+  virtual home_record ownRecord() const = 0;
+  virtual std::vector<home_record> knownRecords() const = 0;
+  virtual std::vector<service_move> knownMoves() const = 0;
+  virtual config_number configNumber() const = 0;
+  /// Returns the text of the newest configuration; null if there is none.
+  virtual shared_body configText() const = 0;
+
+  virtual void takeRecords(const std::vector<home_record> &Records) = 0;
+  virtual void takeConfig(config_number Number, const shared_body &Text) = 0;
+  virtual void takeEvidence(const evidence_report &Report) = 0;
+  virtual void takeMove(const service_move &Move) = 0;
+  /// The node itself has answered.
+  virtual void heardFrom(const node_id &Node) = 0;
+};
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/worker_exchange.cpp
@@ -0,0 +1,167 @@
+// GCC 12 takes the inlined frame allocation of coroutines for another
+// allocator's.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "mesh/worker_exchange.h"
+
+#include <charconv>
+
+#include <sys/socket.h>
+
+#include "net/clock.h"
+
+namespace chivebeam {
+
+namespace {
+
+/// Largest answer that is held whole, so that a cut one never looks complete.
+constexpr std::uint64_t MaxAnswerBytes = 16 << 20;
+constexpr std::uint32_t MaxAnswerHeaderBytes = 64 << 10;
+/// Answers that belong to other calls, which a faulty backend server may send
+/// first; after more of them the connection is given up.
+constexpr int MaxForeignAnswers = 4;
+/// Bodies up to this size fit the socket's buffer and go out with the header.
+constexpr std::size_t SmallBody = 16 << 10;
+
+std::string writeHead(const mesh_call &Call, const header_list &Fields) {
+  std::string Head;
+  Head.reserve(512);
+  Head.append(Call.Method).append(" ").append(Call.Target);
+  Head.append(" HTTP/1.1\r\n");
+  for (const header_field &Field : Fields)
+    Head.append(Field.Name).append(": ").append(Field.Text).append("\r\n");
+  std::size_t Size = Call.Body ? Call.Body->size() : 0;
+  if (Size > 0 || (Call.Method != "GET" && Call.Method != "HEAD"))
+    Head.append("Content-Length: ").append(std::to_string(Size)).append("\r\n");
+  return Head.append("\r\n");
+}
+
+} // namespace
+
+bool worker_connection::isQuiet() {
+  char Byte = 0;
+  ssize_t Got =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void worker_connection::close() {
+  Reusable = false;
+  error_code Ignored;
+  Socket.close(Ignored);
+}
+
+awaitable<void> worker_connection::send(shared_body Head, shared_body Body) {
+  std::shared_ptr<worker_connection> Self = shared_from_this();
+  SendDone = false;
+  std::array<asio::const_buffer, 2> Parts{asio::buffer(*Head),
+                                          asio::const_buffer()};
+  if (Body)
+    Parts[1] = asio::buffer(*Body);
+  error_code Code;
+  co_await asio::async_write(Socket, Parts, orError(Code));
+  SendDone = !Code;
+  SendFailed = static_cast<bool>(Code);
+}
+
+mesh_answer worker_connection::broken(const error_code &Code) const {
+  mesh_answer Answer = noAnswer(attempt_outcome::lost, Code.message());
+  if (TimedOut)
+    Answer.Reason = "no whole answer in time";
+  return Answer;
+}
+
+void worker_connection::noteKeepAlive(const http::fields &Fields) {
+  beast::string_view Text = Fields[http::field::keep_alive];
+  constexpr std::string_view Key = "timeout=";
+  std::size_t At = Text.find(Key.data(), 0, Key.size());
+  if (At == beast::string_view::npos)
+    return;
+  int Seconds = 0;
+  std::from_chars(Text.data() + At + Key.size(), Text.data() + Text.size(),
+                  Seconds);
+  KeepAlive = seconds(Seconds);
+}
+
+awaitable<mesh_answer>
+worker_connection::readAnswer(const mesh_call &Call,
+                              const call_dialect &Dialect) {
+  for (int Foreign = 0; Foreign <= MaxForeignAnswers;) {
+    answer_parser Parser;
+    Parser.body_limit(MaxAnswerBytes);
+    Parser.header_limit(MaxAnswerHeaderBytes);
+    Parser.skip(Call.Method == "HEAD");
+    error_code Code;
+    co_await http::async_read(Socket, Buffer, Parser, orError(Code));
+    AnyByteRead = AnyByteRead || Parser.got_some();
+    if (Code)
+      co_return broken(Code);
+    http::response<http::string_body> Response = Parser.release();
+    if (Response.result_int() < 200)
+      continue;
+    mesh_answer Answer;
+    Answer.Status = Response.result_int();
+    Answer.Fields = endToEndFields(Response.base());
+    if (!Dialect.isAnswerTo(Answer.Fields, Call.Id)) {
+      ++Foreign;
+      continue;
+    }
+    noteKeepAlive(Response.base());
+    if (!Response.keep_alive() || Response.need_eof())
+      Reusable = false;
+    Answer.Body =
+        std::make_shared<const std::string>(std::move(Response.body()));
+    Answer.Outcome = Dialect.outcomeOf(Answer.Status, Answer.Fields);
+    co_return Answer;
+  }
+  co_return noAnswer(attempt_outcome::lost, "only answers to other calls came");
+}
+
+awaitable<mesh_answer>
+worker_connection::exchange(const mesh_call &Call, const header_list &Fields,
+                            const call_dialect &Dialect, instant Until,
+                            const cancel_signal &Cancel) {
+  std::shared_ptr<worker_connection> Self = shared_from_this();
+  auto Executor = co_await asio::this_coro::executor;
+  asio::steady_timer Timer(Executor, Until - currentTime());
+  Timer.async_wait([Self](error_code Code) {
+    if (Code)
+      return;
+    Self->TimedOut = true;
+    Self->close();
+  });
+  Cancel.onRaise([Self] { Self->close(); });
+  auto Head = std::make_shared<const std::string>(writeHead(Call, Fields));
+  // A backend server may answer before it has read a long body.
+  if (!Call.Body || Call.Body->size() <= SmallBody)
+    co_await send(Head, Call.Body);
+  else
+    asio::co_spawn(Executor, send(Head, Call.Body), asio::detached);
+  mesh_answer Answer = co_await readAnswer(Call, Dialect);
+  Cancel.onRaise(nullptr);
+  Timer.cancel();
+  if (Answer.Status == 0 || !SendDone || Buffer.size() > 0 || TimedOut)
+    close();
+  IdleSince = currentTime();
+  co_return Answer;
+}
+
+awaitable<std::shared_ptr<worker_connection>>
+connectToWorker(const address &Worker, milliseconds Timeout) {
+  auto Executor = co_await asio::this_coro::executor;
+  auto Socket = std::make_shared<tcp::socket>(Executor);
+  asio::steady_timer Timer(Executor, Timeout);
+  Timer.async_wait([Socket](error_code Code) {
+    error_code Ignored;
+    if (!Code)
+      Socket->close(Ignored);
+  });
+  error_code Code;
+  co_await Socket->async_connect(toTcp(Worker), orError(Code));
+  if (Timer.cancel() == 0 || Code || !Socket->is_open())
+    co_return nullptr;
+  Socket->set_option(tcp::no_delay(true), Code);
+  co_return std::make_shared<worker_connection>(std::move(*Socket));
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/chivebeam/mesh/worker_exchange.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "mesh/call_dialect.h"
+#include "mesh/cancel_signal.h"
+
+namespace chivebeam {
+
+/// One connection to the backend server beside this node. It carries one call
+/// at a time. Runs on one io_context; not thread safe.
+class worker_connection
+    : public std::enable_shared_from_this<worker_connection> {
+public:
+  explicit worker_connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
+
+  /// Sends the request and reads the whole answer. Gives up at Until, and at
+  /// once when Cancel is raised. The call may have run unless the outcome says
+  /// otherwise. \pre reusable()
+  awaitable<mesh_answer> exchange(const mesh_call &Call,
+                                  const header_list &Fields,
+                                  const call_dialect &Dialect, instant Until,
+                                  const cancel_signal &Cancel);
+  /// True if no bytes wait on it and its other side has not closed it.
+  bool isQuiet();
+  /// True if the connection may carry another call.
+  bool reusable() const { return Reusable; }
+  void close();
+
+  /// When the last answer was complete.
+  instant IdleSince;
+  /// How long the backend server keeps it open; zero if it did not say.
+  milliseconds KeepAlive{0};
+
+private:
+  using answer_parser = http::response_parser<http::string_body>;
+
+  awaitable<void> send(shared_body Head, shared_body Body);
+  awaitable<mesh_answer> readAnswer(const mesh_call &Call,
+                                    const call_dialect &Dialect);
+  void noteKeepAlive(const http::fields &Fields);
+  mesh_answer broken(const error_code &Code) const;
+
+  tcp::socket Socket;
+  beast::flat_buffer Buffer;
+  bool Reusable = true;
+  bool SendDone = true;
+  bool SendFailed = false;
+  bool TimedOut = false;
+  bool AnyByteRead = false;
+};
+
+/// Connects to the backend server; null if it can't be reached in time.
+awaitable<std::shared_ptr<worker_connection>>
+connectToWorker(const address &Worker, milliseconds Timeout);
+
+} // namespace chivebeam
--- a/src/chivebeam/net/http_client.h
+++ b/src/chivebeam/net/http_client.h
@@ -22,6 +22,11 @@
 
   awaitable<result<http_response>> call(http_request Request,
                                         milliseconds Timeout);
+  /// Ends a running call with an error.
+  void cancel() {
+    if (Stream)
+      Stream->close();
+  }
   const address &server() const { return Server; }
 
 private:
--- /dev/null
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -0,0 +1,246 @@
+#include "wire/peer_frame.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "wire/thrift_codec.h"
+#include "wire/wire_convert.h"
+
+namespace chivebeam {
+
+namespace {
+
+constexpr std::size_t MaxFrameHead = MaxMessageBytes;
+constexpr unsigned SizeBytes = 4;
+/// Longest time that one call may have.
+constexpr microseconds MaxTimeLeft = std::chrono::minutes(10);
+
+void appendSize(std::string &Bytes, std::size_t Size) {
+  for (unsigned Byte = 0; Byte < SizeBytes; ++Byte)
+    Bytes.push_back(static_cast<char>(Size >> (8 * Byte)));
+}
+
+std::size_t readSize(std::string_view Bytes) {
+  std::size_t Size = 0;
+  for (unsigned Byte = 0; Byte < SizeBytes; ++Byte)
+    Size |= std::size_t{static_cast<unsigned char>(Bytes[Byte])} << (8 * Byte);
+  return Size;
+}
+
+std::int64_t leftUntil(instant Time, instant Now) {
+  return std::clamp(Time - Now, -MaxTimeLeft, MaxTimeLeft).count();
+}
+
+instant fromLeft(std::int64_t Left, instant Now) {
+  return Now + std::clamp(microseconds(Left), -MaxTimeLeft, MaxTimeLeft);
+}
+
+unsigned toCount(std::int32_t Number) {
+  return static_cast<unsigned>(std::max(Number, 0));
+}
+
+std::vector<wire::header_field> toWire(const header_list &Fields) {
+  std::vector<wire::header_field> Out(Fields.size());
+  for (std::size_t Index = 0; Index < Fields.size(); ++Index) {
+    Out[Index].name = Fields[Index].Name;
+    Out[Index].text = Fields[Index].Text;
+  }
+  return Out;
+}
+
+header_list fromWire(std::vector<wire::header_field> &In) {
+  header_list Fields;
+  Fields.reserve(In.size());
+  for (wire::header_field &Field : In)
+    Fields.push_back({std::move(Field.name), std::move(Field.text)});
+  return Fields;
+}
+
+wire::home_load toWire(const home_load &Load) {
+  wire::home_load Out;
+  Out.running = static_cast<std::int32_t>(Load.Running);
+  Out.waiting = static_cast<std::int32_t>(Load.Waiting);
+  Out.limit = static_cast<std::int32_t>(Load.Limit);
+  Out.service_time_us = Load.ServiceTime.count();
+  Out.failed_permille = static_cast<std::int32_t>(Load.FailedPermille);
+  Out.refused_permille = static_cast<std::int32_t>(Load.RefusedPermille);
+  return Out;
+}
+
+home_load fromWire(const wire::home_load &In) {
+  return {toCount(In.running),         toCount(In.waiting),
+          toCount(In.limit),           microseconds(In.service_time_us),
+          toCount(In.failed_permille), toCount(In.refused_permille)};
+}
+
+wire::home_record toWire(const home_record &Record, instant Now) {
+  wire::home_record Out;
+  Out.node = Record.Node.str();
+  Out.peer = chivebeam::toWire(Record.Peer);
+  Out.domain = Record.Domain.str();
+  Out.worker = Record.Start.Worker.str();
+  Out.born_ms = Record.Start.BornMs;
+  Out.report = static_cast<std::int64_t>(Record.Report);
+  Out.change = static_cast<std::int64_t>(Record.Change);
+  Out.node_leaving = Record.NodeLeaving;
+  Out.record = chivebeam::toWire(Record.Worker);
+  Out.cold_us = leftUntil(Record.Worker.ReadySince, Now);
+  return Out;
+}
+
+home_record fromWire(const wire::home_record &In, instant Now) {
+  home_record Record;
+  Record.Node = node_id(In.node);
+  Record.Peer = chivebeam::fromWire(In.peer);
+  Record.Domain = failure_domain(In.domain);
+  Record.Start = {worker_id(In.worker), In.born_ms};
+  Record.Report = static_cast<std::uint64_t>(In.report);
+  Record.Change = static_cast<std::uint64_t>(In.change);
+  Record.NodeLeaving = In.node_leaving;
+  Record.Worker = chivebeam::fromWire(In.record);
+  Record.Worker.ReadySince = fromLeft(In.cold_us, Now);
+  return Record;
+}
+
+wire::call_request toWire(const mesh_call &Call, instant Now) {
+  wire::call_request Out;
+  Out.id = Call.Id.str();
+  Out.service_name = Call.Service.str();
+  Out.route = Call.Route.str();
+  Out.worker = Call.Worker.str();
+  Out.method = Call.Method;
+  Out.target = Call.Target;
+  Out.fields = toWire(Call.Fields);
+  Out.time_left_us = leftUntil(Call.Deadline, Now);
+  Out.goal_left_us = leftUntil(Call.Goal, Now);
+  Out.urgency = static_cast<std::int32_t>(Call.Urgency);
+  Out.idempotent = Call.Idempotent;
+  Out.nested = Call.Nested;
+  return Out;
+}
+
+mesh_call fromWire(wire::call_request &In, std::string Body, instant Now) {
+  mesh_call Call;
+  Call.Id = request_id(std::move(In.id));
+  Call.Service = service_name(std::move(In.service_name));
+  Call.Route = route_name(std::move(In.route));
+  Call.Worker = worker_id(std::move(In.worker));
+  Call.Method = std::move(In.method);
+  Call.Target = std::move(In.target);
+  Call.Fields = fromWire(In.fields);
+  Call.Body = std::make_shared<const std::string>(std::move(Body));
+  Call.Deadline = fromLeft(In.time_left_us, Now);
+  Call.Goal = fromLeft(In.goal_left_us, Now);
+  Call.Urgency = toCount(In.urgency);
+  Call.Idempotent = In.idempotent;
+  Call.Nested = In.nested;
+  return Call;
+}
+
+wire::call_answer toWire(const mesh_answer &Answer) {
+  wire::call_answer Out;
+  Out.outcome = static_cast<std::int32_t>(Answer.Outcome);
+  Out.status = static_cast<std::int32_t>(Answer.Status);
+  Out.fields = toWire(Answer.Fields);
+  Out.load = toWire(Answer.Load);
+  Out.wait_us = Answer.Wait.count();
+  Out.reason = Answer.Reason;
+  return Out;
+}
+
+mesh_answer fromWire(wire::call_answer &In, std::string Body) {
+  mesh_answer Answer;
+  // An outcome that this version doesn't know says nothing of the call.
+  bool Known = In.outcome >= 0 &&
+               In.outcome <= static_cast<std::int32_t>(attempt_outcome::lost);
+  Answer.Outcome =
+      Known ? static_cast<attempt_outcome>(In.outcome) : attempt_outcome::lost;
+  Answer.Status = toCount(In.status);
+  Answer.Fields = fromWire(In.fields);
+  Answer.Body = std::make_shared<const std::string>(std::move(Body));
+  Answer.Load = fromWire(In.load);
+  Answer.Wait = microseconds(In.wait_us);
+  Answer.Reason = std::move(In.reason);
+  return Answer;
+}
+
+error badFrame(std::string Message) {
+  return {error_kind::invalid_input, "", std::move(Message),
+          "check that the sender is a chivebeam node of the same version"};
+}
+
+} // namespace
+
+shared_body bodyOf(const peer_frame &Frame) {
+  if (Frame.Request)
+    return Frame.Request->Body;
+  if (Frame.Answer)
+    return Frame.Answer->Body;
+  return Frame.Body;
+}
+
+std::string encodeFrameHead(const peer_frame &Frame, instant Now) {
+  wire::peer_frame Out;
+  Out.kind = static_cast<std::int32_t>(Frame.Kind);
+  Out.call = static_cast<std::int64_t>(Frame.Call);
+  Out.config = static_cast<std::int64_t>(Frame.Config.value());
+  if (Frame.Request)
+    Out.__set_request(toWire(*Frame.Request, Now));
+  if (Frame.Answer)
+    Out.__set_answer(toWire(*Frame.Answer));
+  if (!Frame.Records.empty()) {
+    std::vector<wire::home_record> Records;
+    for (const home_record &Record : Frame.Records)
+      Records.push_back(toWire(Record, Now));
+    Out.__set_records(Records);
+  }
+  if (Frame.Evidence)
+    Out.__set_evidence(chivebeam::toWire(*Frame.Evidence));
+  std::string Head = encodeThrift(Out);
+  shared_body Body = bodyOf(Frame);
+  std::string Bytes;
+  Bytes.reserve(FramePrefixBytes + Head.size());
+  appendSize(Bytes, Head.size());
+  appendSize(Bytes, Body ? Body->size() : 0);
+  Bytes += Head;
+  return Bytes;
+}
+
+result<frame_sizes> decodeFrameSizes(std::string_view Bytes) {
+  frame_sizes Sizes{readSize(Bytes), readSize(Bytes.substr(SizeBytes))};
+  if (Sizes.Head > MaxFrameHead || Sizes.Body > MaxFrameBody)
+    return tl::unexpected(badFrame("a frame that is too large"));
+  return Sizes;
+}
+
+result<peer_frame> decodeFrame(std::string_view Head, std::string Body,
+                               instant Now) {
+  result<wire::peer_frame> In = decodeThrift<wire::peer_frame>(Head);
+  if (!In)
+    return tl::unexpected(In.error());
+  if (In->kind < 0 || In->kind > static_cast<std::int32_t>(frame_kind::move))
+    return tl::unexpected(badFrame("a frame of unknown kind"));
+  peer_frame Frame;
+  Frame.Kind = static_cast<frame_kind>(In->kind);
+  Frame.Call = static_cast<std::uint64_t>(In->call);
+  Frame.Config = config_number(static_cast<std::uint64_t>(In->config));
+  if (In->__isset.request)
+    Frame.Request = fromWire(In->request, std::move(Body), Now);
+  else if (In->__isset.answer)
+    Frame.Answer = fromWire(In->answer, std::move(Body));
+  else if (!Body.empty())
+    Frame.Body = std::make_shared<const std::string>(std::move(Body));
+  for (const wire::home_record &Record : In->records)
+    Frame.Records.push_back(fromWire(Record, Now));
+  if (In->__isset.evidence)
+    Frame.Evidence = chivebeam::fromWire(In->evidence);
+  bool Complete = (Frame.Kind != frame_kind::call || Frame.Request) &&
+                  (Frame.Kind != frame_kind::answer || Frame.Answer) &&
+                  (Frame.Kind != frame_kind::evidence || Frame.Evidence) &&
+                  (Frame.Kind != frame_kind::move || Frame.Body);
+  if (!Complete)
+    return tl::unexpected(badFrame("a frame without its content"));
+  return Frame;
+}
+
+} // namespace chivebeam
--- a/src/libchivebeam/base/names.h
+++ b/src/libchivebeam/base/names.h
@@ -31,6 +31,8 @@
 using fleet_name = basic_name<struct fleet_tag>;
 using node_id = basic_name<struct node_tag>;
 using service_name = basic_name<struct service_tag>;
+/// One start of a backend server, or several that share a name.
+using worker_id = basic_name<struct worker_id_tag>;
 using version_name = basic_name<struct version_tag>;
 using route_name = basic_name<struct route_tag>;
 using move_id = basic_name<struct move_tag>;
--- a/src/libchivebeam/config/asset_register.h
+++ b/src/libchivebeam/config/asset_register.h
@@ -22,8 +22,9 @@
   /// Version that serves when no move is under way.
   version_name Version;
   std::vector<version_name> Versions;
-  unsigned Workers = 0; ///< backend servers for each version
-  unsigned Slots = 0;   ///< calls one backend server runs at a time
+  unsigned Workers = 0;        ///< backend servers for each version
+  unsigned Slots = 0;          ///< calls one backend server runs at a time
+  unsigned MaxConnections = 0; ///< that one backend server takes; zero: unknown
 };
 
 /// The operators' inventory: failure domains and services. Written by the
--- a/src/libchivebeam/config/rule_set.h
+++ b/src/libchivebeam/config/rule_set.h
@@ -8,9 +8,16 @@
 #include "base/error.h"
 #include "base/names.h"
 #include "base/units.h"
+#include "config/caller_limits.h"
 
 namespace chivebeam {
 
+/// One part of a route whose calls are divided between services.
+struct weighted_service {
+  service_name Service;
+  unsigned Weight = 1;
+};
+
 struct route_rule {
   route_name Name;
   std::string Host; ///< empty matches every host
@@ -19,7 +26,12 @@
   service_name Service;
   bool Idempotent = false;
   milliseconds Deadline{0};
-  unsigned RetryBudgetPercent = 0; ///< retries as a share of recent calls
+  unsigned RetryBudgetPercent = 0;     ///< retries as a share of recent calls
+  std::vector<weighted_service> Split; ///< empty: all calls go to Service
+  milliseconds Goal{0};    ///< an answer within it is worth most; zero: none
+  unsigned Urgency = 0;    ///< rank among routes; 0 is the most urgent
+  unsigned MaxWorkers = 0; ///< backend servers that one call may reach; zero:
+                           ///< the retry budget alone decides
 };
 
 struct move_rule {
@@ -35,6 +47,7 @@
 struct rule_set {
   std::vector<route_rule> Routes;
   std::vector<move_rule> Moves;
+  caller_limits Limits;
 };
 
 /// Reads one move and adds its mistakes to Errors.
--- a/src/libchivebeam/config/snapshot.cpp
+++ b/src/libchivebeam/config/snapshot.cpp
@@ -30,12 +30,26 @@
   return nullptr;
 }
 
+void snapshot::indexRoutes() {
+  for (const route_rule &Rule : Routes) {
+    RoutesByPrefix[Rule.PathPrefix].push_back(&Rule);
+    if (PrefixLengths.empty() || PrefixLengths.back() != Rule.PathPrefix.size())
+      PrefixLengths.push_back(Rule.PathPrefix.size());
+  }
+}
+
 const route_rule *snapshot::match(std::string_view Host, std::string_view Path,
                                   std::string_view Method) const {
-  for (const route_rule &Rule : Routes)
-    if (Path.starts_with(Rule.PathPrefix) && hostMatches(Rule, Host) &&
-        methodMatches(Rule, Method))
-      return &Rule;
+  for (std::size_t Length : PrefixLengths) {
+    if (Length > Path.size())
+      continue;
+    auto Found = RoutesByPrefix.find(Path.substr(0, Length));
+    if (Found == RoutesByPrefix.end())
+      continue;
+    for (const route_rule *Rule : Found->second)
+      if (hostMatches(*Rule, Host) && methodMatches(*Rule, Method))
+        return Rule;
+  }
   return nullptr;
 }
 
--- a/src/libchivebeam/config/snapshot_builder.cpp
+++ b/src/libchivebeam/config/snapshot_builder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_map>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -62,6 +63,20 @@
   XXH3_state_t State;
 };
 
+/// Adds what a route may have besides its service. Nothing is added for a
+/// route that has none of it, so that digests of plain routes stay the same.
+void addWeights(digest_writer &Digest, const route_rule &Route) {
+  if (Route.Split.empty() && Route.Goal.count() == 0 && Route.MaxWorkers == 0)
+    return;
+  for (const weighted_service &Part : Route.Split) {
+    Digest.add(Part.Service.str());
+    Digest.add(Part.Weight);
+  }
+  Digest.add(Route.Goal.count());
+  Digest.add(Route.Urgency);
+  Digest.add(Route.MaxWorkers);
+}
+
 } // namespace
 
 snapshot_builder &snapshot_builder::withNumber(config_number NewNumber) {
@@ -88,11 +103,13 @@
     Made->Services[Entry.Service] = Entry;
   Made->Routes = Rules.Routes;
   Made->Moves = Rules.Moves;
+  Made->Limits = Rules.Limits;
   checkRoutes();
   checkMoves();
   if (!Errors.empty())
     return tl::unexpected(std::move(Errors));
   sortRoutes();
+  Made->indexRoutes();
   Made->Digest = computeDigest();
   return snapshot_ptr(std::move(Made));
 }
@@ -118,9 +135,13 @@
 }
 
 void snapshot_builder::checkRoutes() {
-  for (std::size_t Index = 0; Index < Rules.Routes.size(); ++Index)
-    requireService(Rules.Routes[Index].Service,
-                   "/routes/" + std::to_string(Index) + "/service");
+  for (std::size_t Index = 0; Index < Rules.Routes.size(); ++Index) {
+    const route_rule &Route = Rules.Routes[Index];
+    std::string Path = "/routes/" + std::to_string(Index);
+    requireService(Route.Service, Path + "/service");
+    for (const weighted_service &Part : Route.Split)
+      requireService(Part.Service, Path + "/split");
+  }
   rejectRepeats(
       Rules.Routes, "routes", "name",
       [](const route_rule &Rule) { return Rule.Name.str(); }, Errors);
@@ -128,15 +149,20 @@
 }
 
 void snapshot_builder::checkRouteOverlaps() {
-  for (std::size_t Later = 1; Later < Rules.Routes.size(); ++Later)
-    for (std::size_t Earlier = 0; Earlier < Later; ++Earlier)
-      if (overlap(Rules.Routes[Earlier], Rules.Routes[Later]))
+  std::unordered_map<std::string_view, std::vector<const route_rule *>> Earlier;
+  for (std::size_t Index = 0; Index < Rules.Routes.size(); ++Index) {
+    const route_rule &Later = Rules.Routes[Index];
+    std::vector<const route_rule *> &SamePrefix = Earlier[Later.PathPrefix];
+    for (const route_rule *Other : SamePrefix)
+      if (overlap(*Other, Later))
         Errors.push_back(
             {error_kind::conflict,
-             "/routes/" + std::to_string(Later) + "/path_prefix",
-             "route \"" + Rules.Routes[Earlier].Name.str() +
+             "/routes/" + std::to_string(Index) + "/path_prefix",
+             "route \"" + Other->Name.str() +
                  "\" takes the same calls: host, prefix and a method are equal",
              "remove one of the two, or tell them apart by host or methods"});
+    SamePrefix.push_back(&Later);
+  }
 }
 
 void snapshot_builder::checkMove(const move_rule &Move,
@@ -194,6 +220,7 @@
     Digest.add(Route.Idempotent ? 1 : 0);
     Digest.add(Route.Deadline.count());
     Digest.add(Route.RetryBudgetPercent);
+    addWeights(Digest, Route);
   }
   for (const move_rule &Move : Made->Moves) {
     Digest.add(Move.Id.str());
--- /dev/null
+++ b/src/libchivebeam/membership/home_directory.cpp
@@ -0,0 +1,68 @@
+#include "membership/home_directory.h"
+
+#include <algorithm>
+
+namespace chivebeam {
+
+bool home_directory::offer(const home_record &Record, bool FromStore) {
+  auto [Position, Inserted] = Entries.try_emplace(Record.Node);
+  entry &Entry = Position->second;
+  bool Revived = FromStore && Entry.VanishedAt.has_value();
+  if (FromStore)
+    Entry.VanishedAt.reset();
+  if (!Inserted && !isNewer(Record, Entry.Record))
+    return Revived;
+  Entry.Record = Record;
+  return true;
+}
+
+void home_directory::vanished(const node_id &Node, instant Now) {
+  auto Found = Entries.find(Node);
+  if (Found != Entries.end() && !Found->second.VanishedAt)
+    Found->second.VanishedAt = Now;
+}
+
+void home_directory::keepOnly(const std::vector<node_id> &Listed, instant Now) {
+  for (auto &[Node, Entry] : Entries)
+    if (std::find(Listed.begin(), Listed.end(), Node) == Listed.end() &&
+        !Entry.VanishedAt)
+      Entry.VanishedAt = Now;
+}
+
+void home_directory::heardFrom(const node_id &Node, instant Now) {
+  auto Found = Entries.find(Node);
+  if (Found != Entries.end())
+    Found->second.HeardAt = Now;
+}
+
+bool home_directory::expire(instant Now) {
+  auto IsGone = [&](const auto &Item) {
+    const entry &Entry = Item.second;
+    return Entry.VanishedAt && Now >= *Entry.VanishedAt + VanishedGrace &&
+           Now >= Entry.HeardAt + HeardLifetime;
+  };
+  return std::erase_if(Entries, IsGone) > 0;
+}
+
+const home_record *home_directory::find(const node_id &Node) const {
+  auto Found = Entries.find(Node);
+  return Found == Entries.end() ? nullptr : &Found->second.Record;
+}
+
+std::vector<home_record> home_directory::records() const {
+  std::vector<home_record> Records;
+  Records.reserve(Entries.size());
+  for (const auto &[Node, Entry] : Entries)
+    Records.push_back(Entry.Record);
+  return Records;
+}
+
+std::vector<node_id> home_directory::doubtful() const {
+  std::vector<node_id> Nodes;
+  for (const auto &[Node, Entry] : Entries)
+    if (Entry.VanishedAt)
+      Nodes.push_back(Node);
+  return Nodes;
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/libchivebeam/membership/home_record.cpp
@@ -0,0 +1,18 @@
+#include "membership/home_record.h"
+
+#include <tuple>
+
+namespace chivebeam {
+
+bool isNewer(const home_record &New, const home_record &Old) {
+  auto OrderOf = [](const home_record &Record) {
+    return std::tuple(Record.Start.BornMs, Record.Report, Record.Change);
+  };
+  return OrderOf(New) > OrderOf(Old);
+}
+
+bool takesCalls(const home_record &Record) {
+  return !Record.NodeLeaving && Record.Worker.State == worker_state::ready;
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/libchivebeam/membership/worker_reports.cpp
@@ -0,0 +1,94 @@
+#include "membership/worker_reports.h"
+
+#include <algorithm>
+
+namespace chivebeam {
+
+namespace {
+
+/// A backend server that has been silent for so many report intervals may be
+/// replaced by one whose clock says that it started earlier.
+constexpr int SilentIntervals = 3;
+
+bool saysTheSame(const worker_report &Left, const worker_report &Right) {
+  return Left.Worker.Service == Right.Worker.Service &&
+         Left.Worker.Version == Right.Worker.Version &&
+         Left.Worker.Slots == Right.Worker.Slots &&
+         Left.Worker.State == Right.Worker.State && Left.At == Right.At;
+}
+
+} // namespace
+
+std::string_view toString(report_effect Effect) {
+  switch (Effect) {
+  case report_effect::stale:
+    return "stale";
+  case report_effect::unchanged:
+    return "unchanged";
+  case report_effect::changed:
+    return "changed";
+  case report_effect::started:
+    return "started";
+  }
+  return "stale";
+}
+
+bool worker_reports::isLateReportOfAnother(const worker_report &Report,
+                                           instant Now) {
+  if (Report.Start.BornMs >= Current->Start.BornMs)
+    return false;
+  bool Silent = Now >= LastReport + Interval * SilentIntervals;
+  bool Again = Pretender && Pretender->Start == Report.Start &&
+               Report.Sequence > Pretender->Sequence;
+  Pretender = Report;
+  return !Silent || !Again;
+}
+
+report_effect worker_reports::report(const worker_report &Report, instant Now) {
+  if (Current && Current->Start == Report.Start) {
+    if (Report.Sequence <= Current->Sequence ||
+        (Current->Worker.State == worker_state::leaving &&
+         Report.Worker.State == worker_state::ready))
+      return report_effect::stale;
+    bool Same = saysTheSame(Report, *Current);
+    Current = Report;
+    LastReport = Now;
+    return Same ? report_effect::unchanged : report_effect::changed;
+  }
+  if (Current && isLateReportOfAnother(Report, Now))
+    return report_effect::stale;
+  Current = Report;
+  LastReport = Now;
+  Pretender.reset();
+  return report_effect::started;
+}
+
+report_effect worker_reports::leave(const worker_id &Worker,
+                                    std::optional<std::int64_t> BornMs) {
+  if (!Current) {
+    // Its earlier reports went to a process that is gone.
+    restoreLeaving({Worker, BornMs.value_or(0)}, 0);
+    return report_effect::changed;
+  }
+  if (Current->Start.Worker != Worker ||
+      (BornMs && *BornMs != Current->Start.BornMs))
+    return report_effect::stale;
+  if (Current->Worker.State == worker_state::leaving)
+    return report_effect::unchanged;
+  Current->Worker.State = worker_state::leaving;
+  return report_effect::changed;
+}
+
+void worker_reports::restoreLeaving(const worker_start &Start,
+                                    std::uint64_t Sequence) {
+  if (Current && Current->Start.BornMs > Start.BornMs)
+    return;
+  if (!Current || Current->Start != Start) {
+    Current.emplace();
+    Current->Start = Start;
+  }
+  Current->Sequence = std::max(Current->Sequence, Sequence);
+  Current->Worker.State = worker_state::leaving;
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/libchivebeam/membership/worker_reports.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "membership/home_record.h"
+
+namespace chivebeam {
+
+/// One report of a backend server to the node beside it.
+struct worker_report {
+  worker_start Start;
+  std::uint64_t Sequence = 0; ///< raised with each report of one start
+  worker_record Worker;       ///< ReadySince: when its cold start is over
+  address At;                 ///< where it takes calls
+};
+
+/// What a report changed.
+enum class report_effect {
+  stale,     ///< older than what is known; passed over
+  unchanged, ///< confirms what is known
+  changed,   ///< the backend server's state or data differ now
+  started,   ///< another start of a backend server
+};
+
+std::string_view toString(report_effect Effect);
+
+/// Orders the reports of the backend servers beside one node. A late report
+/// never revives a backend server that has said that it leaves. Not thread
+/// safe.
+class worker_reports {
+public:
+  explicit worker_reports(microseconds Interval) : Interval(Interval) {}
+
+  report_effect report(const worker_report &Report, instant Now);
+  /// The backend server says that it leaves for good. BornMs is absent if the
+  /// word does not name the start.
+  report_effect leave(const worker_id &Worker,
+                      std::optional<std::int64_t> BornMs);
+  /// Takes over what an earlier process beside this backend server knew.
+  void restoreLeaving(const worker_start &Start, std::uint64_t Sequence);
+
+  /// Returns the newest report; empty before the first.
+  const std::optional<worker_report> &current() const { return Current; }
+
+private:
+  bool isLateReportOfAnother(const worker_report &Report, instant Now);
+
+  microseconds Interval;
+  std::optional<worker_report> Current;
+  instant LastReport;
+  /// A start that claims to be older than the current one, while that one is
+  /// silent; believed at its second report.
+  std::optional<worker_report> Pretender;
+};
+
+} // namespace chivebeam
--- a/src/libchivebeam/moves/evidence_tracker.cpp
+++ b/src/libchivebeam/moves/evidence_tracker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "moves/move_pace.h"
+
 namespace chivebeam {
 
 namespace {
@@ -9,15 +11,13 @@
 /// A move's time is divided into so many recent windows; steps start more of
 /// them. Together they stay below the number that the judge allows for.
 constexpr int RecentWindows = 40;
-constexpr microseconds MinRecent = seconds(2);
 constexpr std::size_t MaxEarlierSteps = 16;
-constexpr microseconds FreshReport = seconds(2);
-constexpr microseconds TrafficStretch = seconds(2);
 /// Calls of the old version that make a stretch worth keeping.
 constexpr std::uint64_t MinWorstCalls = 200;
 
 microseconds recentLength(const move_rule &Rule) {
-  return std::max((Rule.By - Rule.Start) / RecentWindows, MinRecent);
+  return std::max((Rule.By - Rule.Start) / RecentWindows,
+                  paceOf(Rule).MinRecent);
 }
 
 /// Parts of ten thousand, so that stretches compare without rounding errors
@@ -52,15 +52,16 @@
 void evidence_tracker::beginRecent(const move_rule &Rule, instant Now) {
   evidence_window Closed = Book.since(window_start::recent, Rule.From, Rule.To);
   keepWorst(Closed.Old);
-  measureTraffic(Closed, Now);
+  measureTraffic(Rule, Closed, Now);
   Book.mark(window_start::recent);
   RecentSince = Now;
 }
 
-bool evidence_tracker::isNewStep(const move_progress &Progress,
+bool evidence_tracker::isNewStep(const move_rule &Rule,
+                                 const move_progress &Progress,
                                  instant Now) const {
   bool Settled = Progress.StepsBack == MarkedStepsBack ||
-                 Now >= Progress.StepSince + SettleTime;
+                 Now >= Progress.StepSince + paceOf(Rule).SettleTime;
   return MarkedStep != Progress.Step && Settled;
 }
 
@@ -80,10 +81,11 @@
   beginRecent(Rule, Now);
 }
 
-void evidence_tracker::measureTraffic(const evidence_window &Window,
+void evidence_tracker::measureTraffic(const move_rule &Rule,
+                                      const evidence_window &Window,
                                       instant Now) {
   if (FirstReport == instant() ||
-      Now < std::max(RecentSince, FirstReport) + TrafficStretch)
+      Now < std::max(RecentSince, FirstReport) + paceOf(Rule).TrafficStretch)
     return;
   route_evidence Total = totalOf(Window.Old);
   Total.add(totalOf(Window.New));
@@ -99,7 +101,7 @@
                                            const move_progress &Progress,
                                            const worker_counts &Workers,
                                            instant Now) {
-  if (isNewStep(Progress, Now))
+  if (isNewStep(Rule, Progress, Now))
     beginStep(Rule, Progress, Now);
   else if (Now >= RecentSince + recentLength(Rule))
     beginRecent(Rule, Now);
@@ -110,7 +112,7 @@
   Seen.Evidence.WorstOld = WorstOld;
   Seen.Evidence.Uncompared = MarkedShare == FullShare;
   Seen.Evidence.Suspected = Progress.StepsBack > 0;
-  measureTraffic(Seen.Evidence.Recent, Now);
+  measureTraffic(Rule, Seen.Evidence.Recent, Now);
   Seen.CallsPerMinute = CallsPerMinute;
   Seen.MeanDuration = MeanDuration;
   Seen.TrafficKnown = TrafficKnown;
@@ -118,7 +120,8 @@
   Seen.NewWorkers = Workers.New;
   Seen.NewSlots = Workers.NewSlots;
   Seen.WantedWorkers = Workers.Wanted;
-  Seen.NewReporters = Book.reportersSince(Rule.To, Now - FreshReport);
+  Seen.NewReporters =
+      Book.reportersSince(Rule.To, Now - paceOf(Rule).FreshReport);
   if (hasEnoughWorkers(Seen))
     ShortSince = instant();
   else if (ShortSince == instant())
--- a/src/libchivebeam/moves/evidence_tracker.h
+++ b/src/libchivebeam/moves/evidence_tracker.h
@@ -19,11 +19,6 @@
 /// and the old version's worst stretch. Not thread safe.
 class evidence_tracker {
 public:
-  /// A lower share takes so long to reach every node and to show in the
-  /// reports. Until then, calls count for the step before. After a rise, calls
-  /// that ran at the lower share only make the new version look better.
-  static constexpr milliseconds SettleTime{750};
-
   void offer(const evidence_report &Report, instant Now);
 
   /// Returns what the move is decided by at Now. A new step starts a new
@@ -32,12 +27,17 @@
                            const worker_counts &Workers, instant Now);
 
 private:
-  bool isNewStep(const move_progress &Progress, instant Now) const;
+  /// A lower share takes a while to reach every node and to show in the
+  /// reports. Until then, calls count for the step before. After a rise, calls
+  /// that ran at the lower share only make the new version look better.
+  bool isNewStep(const move_rule &Rule, const move_progress &Progress,
+                 instant Now) const;
   void beginStep(const move_rule &Rule, const move_progress &Progress,
                  instant Now);
   void beginRecent(const move_rule &Rule, instant Now);
   void keepWorst(const evidence_by_route &Old);
-  void measureTraffic(const evidence_window &Window, instant Now);
+  void measureTraffic(const move_rule &Rule, const evidence_window &Window,
+                      instant Now);
 
   evidence_book Book;
   unsigned MarkedStep = 0;
--- a/src/libchivebeam/moves/move_plan.h
+++ b/src/libchivebeam/moves/move_plan.h
@@ -17,7 +17,7 @@
   /// a version that fails every call stays within the exposure budget.
   unsigned firstShare(std::uint64_t CallsPerMinute) const;
   /// Returns the next higher share of the ladder. \pre Share < FullShare.
-  static unsigned nextShare(unsigned Share);
+  unsigned nextShare(unsigned Share) const;
   /// Returns how long a step of the share that began at Since lasts.
   microseconds durationOf(unsigned Share, instant Since) const;
   /// True if too little time is left for a whole ladder.
--- a/src/libchivebeam/moves/move_turn.cpp
+++ b/src/libchivebeam/moves/move_turn.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <cstdio>
 
-#include "moves/evidence_tracker.h"
+#include "moves/move_pace.h"
 
 namespace chivebeam {
 
@@ -13,10 +13,6 @@
 constexpr unsigned CompareShare = 2'500;
 /// How often a suspicion leads to another comparison.
 constexpr unsigned MaxStepsBack = 2;
-/// Time that a comparison with the steps after it needs at least.
-constexpr microseconds MinCompareTime = seconds(10);
-/// How long too few workers of the new version are put up with.
-constexpr microseconds VanishedLimit = seconds(10);
 /// A step that saw too few calls lasts so many times its duration, then the
 /// share rises all the same, since nothing speaks against it.
 constexpr int MaxStretch = 2;
@@ -25,8 +21,6 @@
 /// Evidence (e^20) that ends a move whose verdict is already decided; there is
 /// no step left in which to compare again.
 constexpr double CollapseLog = 20;
-/// Part of the new version's slots that the next share may fill.
-constexpr double MaxSlotUse = 0.8;
 
 std::uint64_t newCalls(const move_observation &Seen) {
   return totalOf(totalOf(Seen.Evidence).New).Calls;
@@ -97,7 +91,7 @@
 
 bool move_turn::canRaise() const {
   return Next.Share < FullShare && hasLasted() && hasEnoughWorkers(Seen) &&
-         hasFreshReports() && hasRoomFor(move_plan::nextShare(Next.Share));
+         hasFreshReports() && hasRoomFor(Plan.nextShare(Next.Share));
 }
 
 bool move_turn::hasSoaked() const {
@@ -115,15 +109,17 @@
 
 bool move_turn::isSuspect() const {
   return Judged.Judgement == judgement::suspect &&
-         Now >= Next.StepSince + evidence_tracker::SettleTime;
+         Now >= Next.StepSince + paceOf(Plan.Rule).SettleTime;
 }
 
 bool move_turn::canStepBack() const {
-  return Next.StepsBack < MaxStepsBack && Now + MinCompareTime < Plan.Rule.By;
+  return Next.StepsBack < MaxStepsBack &&
+         Now + paceOf(Plan.Rule).MinCompareTime < Plan.Rule.By;
 }
 
 bool move_turn::hasVanished() const {
-  return Seen.ShortSince != instant() && Now >= Seen.ShortSince + VanishedLimit;
+  return Seen.ShortSince != instant() &&
+         Now >= Seen.ShortSince + paceOf(Plan.Rule).VanishedLimit;
 }
 
 bool move_turn::hasFreshReports() const {
@@ -138,7 +134,8 @@
   double Running = Part * PerSecond *
                    std::chrono::duration<double>(Seen.MeanDuration).count();
   double Needed = Running + 2 * std::sqrt(Running);
-  return Needed <= MaxSlotUse * static_cast<double>(Seen.NewSlots);
+  return Needed <=
+         paceOf(Plan.Rule).MaxSlotUse * static_cast<double>(Seen.NewSlots);
 }
 
 void move_turn::beginShare(unsigned Share) {
@@ -150,7 +147,7 @@
 
 void move_turn::raiseStep() {
   beginShare(Next.Step == 0 ? Plan.firstShare(Seen.CallsPerMinute)
-                            : move_plan::nextShare(Next.Share));
+                            : Plan.nextShare(Next.Share));
   Next.Reason = Judged.Reason;
 }
 
@@ -177,7 +174,7 @@
     return Text;
   }
   if (Next.Share < FullShare &&
-      !hasRoomFor(move_plan::nextShare(std::max(Next.Share, 1U)))) {
+      !hasRoomFor(Plan.nextShare(std::max(Next.Share, 1U)))) {
     std::snprintf(Text, sizeof Text,
                   "the set time came while %u slots of the new version were "
                   "too few for more than %.1f%% of %llu calls a minute",
--- a/src/libchivebeam/moves/sequential_judge.cpp
+++ b/src/libchivebeam/moves/sequential_judge.cpp
@@ -173,7 +173,7 @@
 judgement_result sequential_judge::judge(const move_evidence &Evidence) const {
   static const evidence_window Nothing;
   evidence_window Total = totalOf(Evidence);
-  slow_bounds Bounds = slowBounds(Total.Old);
+  slow_bounds Bounds = slowBounds(Total.Old, Settings.SlowMargin);
   std::vector<const evidence_window *> Steps;
   if (!Evidence.Uncompared)
     Steps.push_back(&Evidence.SinceStep);
--- a/src/libchivebeam/moves/sequential_judge.h
+++ b/src/libchivebeam/moves/sequential_judge.h
@@ -11,6 +11,10 @@
   double MoveErrorRate = 0.0015;   ///< over all steps together
   double RecentErrorRate = 0.0005; ///< over all recent windows together
   double SuspectErrorRate = 0.002; ///< against the old version's record
+  /// Buckets above the one that holds nine in ten of the old version's calls:
+  /// a call beyond is slow. One bucket, so that a small difference across a
+  /// bucket's edge does not count.
+  std::size_t SlowMargin = 1;
 };
 
 /// Judges by evidence that stays valid however often it is looked at (see
--- a/src/libchivebeam/moves/stretch_counts.cpp
+++ b/src/libchivebeam/moves/stretch_counts.cpp
@@ -33,13 +33,11 @@
 
 } // namespace
 
-slow_bounds slowBounds(const evidence_by_route &Old) {
+slow_bounds slowBounds(const evidence_by_route &Old, std::size_t Margin) {
   slow_bounds Bounds;
-  // One bucket more, so that a small difference across a bucket's edge does
-  // not count.
   for (const auto &[Route, Evidence] : Old)
     if (Evidence.Latency.total() >= MinCallsForBound)
-      Bounds[Route] = Evidence.Latency.bucketOf(BoundQuantile) + 1;
+      Bounds[Route] = Evidence.Latency.bucketOf(BoundQuantile) + Margin;
   return Bounds;
 }
 
--- a/src/libchivebeam/moves/stretch_counts.h
+++ b/src/libchivebeam/moves/stretch_counts.h
@@ -11,8 +11,8 @@
 using slow_bounds = std::map<route_name, std::size_t>;
 
 /// Returns the bounds that the old version's latencies give. Routes with too
-/// few calls of the old version have none.
-slow_bounds slowBounds(const evidence_by_route &Old);
+/// few calls of the old version have none. Margin: see judge_settings.
+slow_bounds slowBounds(const evidence_by_route &Old, std::size_t Margin);
 
 /// Failures and slow calls on one route in one or more stretches of time.
 struct route_stretches {
--- a/src/libchivebeam/routing/admission.h
+++ b/src/libchivebeam/routing/admission.h
@@ -8,12 +8,10 @@
 #include "base/names.h"
 #include "config/work_class.h"
 #include "routing/adaptive_limit.h"
+#include "routing/call_number.h"
 
 namespace chivebeam {
 
-/// Identifies one waiting or running call at a home node.
-using call_number = basic_number<struct call_number_tag>;
-
 /// A call as it arrives at the home node.
 struct arriving_call {
   call_number Call;
--- /dev/null
+++ b/src/libchivebeam/routing/expected_end_picker.cpp
@@ -0,0 +1,177 @@
+#include "routing/expected_end_picker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivebeam {
+
+namespace {
+
+/// Time of a call before any was seen.
+constexpr double DefaultCallMicros = 50'000;
+constexpr double NewestWeight = 0.1;
+/// What a home node said of its load counts for half after this time.
+constexpr double LoadHalfLifeMicros = 300'000;
+/// A load report older than this says nothing.
+constexpr milliseconds LoadLifetime{1'500};
+/// A backend server in its cold start takes about twice as long.
+constexpr double ColdFactor = 2.0;
+/// Cost of a busy server beside an idle one, as a part of a call's time: calls
+/// spread before a queue forms.
+constexpr double BusyPart = 0.25;
+/// Leaving the failure domain costs this part of a call's time, and at least
+/// the round trip.
+constexpr double RemotePart = 0.5;
+constexpr double RemoteMicros = 4'000;
+/// A server that failed every recent call costs so many times as much.
+constexpr double FailureFactor = 12.0;
+/// Cost of a server whose home node could not be reached, or runs nothing.
+constexpr double UnusableMicros = 2'000'000;
+constexpr milliseconds AvoidTime{400};
+/// Groups up to this size are compared whole; of larger ones, so many random
+/// ones a side.
+constexpr std::size_t CompareAllUpTo = 16;
+constexpr std::size_t DrawsPerSide = 4;
+
+} // namespace
+
+expected_end_picker::server &
+expected_end_picker::serverOf(const endpoint &Endpoint) {
+  server &Server = Servers[Endpoint.Node];
+  if (Server.Worker != Endpoint.Worker) {
+    // Another backend server beside the same node: its past does not count.
+    unsigned Open = Server.Open;
+    Server = server();
+    Server.Open = Open;
+    Server.Worker = Endpoint.Worker;
+  }
+  return Server;
+}
+
+double expected_end_picker::timeOf(const service_name &Service,
+                                   const endpoint &Endpoint,
+                                   const server &Server, instant Now) const {
+  auto Typical = TypicalMicros.find(Service);
+  double Micros =
+      Typical == TypicalMicros.end() ? DefaultCallMicros : Typical->second;
+  double Limit = std::max(Endpoint.Slots, 1U);
+  double Others = 0;
+  if (Now < Server.ReportedAt + LoadLifetime) {
+    const home_load &Load = Server.Load;
+    if (Load.ServiceTime.count() > 0)
+      Micros = static_cast<double>(Load.ServiceTime.count());
+    if (Load.Limit > 0)
+      Limit = Load.Limit;
+    double Age = static_cast<double>((Now - Server.ReportedAt).count());
+    double Told = Load.Running + Load.Waiting;
+    Others = std::max(0.0, Told - Server.OpenAtReport) *
+             std::exp2(-Age / LoadHalfLifeMicros);
+  }
+  if (Now < Endpoint.ReadySince)
+    Micros *= ColdFactor;
+  double Present = Others + Server.Open;
+  double Queued = std::max(0.0, Present + 1 - Limit);
+  double Busy = std::min(1.0, Present / Limit) * BusyPart;
+  return Micros * (1 + Busy + Queued / Limit);
+}
+
+double expected_end_picker::costOf(const service_name &Service,
+                                   const endpoint &Endpoint, instant Now) {
+  server &Server = serverOf(Endpoint);
+  double Cost = timeOf(Service, Endpoint, Server, Now);
+  if (Endpoint.Domain != Domain)
+    Cost += std::max(RemoteMicros, Cost * RemotePart);
+  Cost *= 1 + Server.Failures.value(Now) * FailureFactor;
+  bool NoLimit = Server.Load.Limit == 0 && Now < Server.ReportedAt + AvoidTime;
+  if (Now < Server.AvoidUntil || NoLimit)
+    Cost += UnusableMicros;
+  return Cost;
+}
+
+void expected_end_picker::consider(const service_name &Service,
+                                   const std::vector<endpoint> &Endpoints,
+                                   const std::set<node_id> &Excluded,
+                                   instant Now, candidate &Best) {
+  std::size_t Count = Endpoints.size();
+  if (Count == 0)
+    return;
+  std::size_t Draws = Count <= CompareAllUpTo ? Count : DrawsPerSide;
+  std::size_t Start = Random.below(Count);
+  for (std::size_t Step = 0, Drawn = 0; Step < Count && Drawn < Draws; ++Step) {
+    const endpoint &Endpoint = Endpoints[(Start + Step) % Count];
+    if (Excluded.contains(Endpoint.Node))
+      continue;
+    ++Drawn;
+    double Cost = costOf(Service, Endpoint, Now);
+    if (!Best.Endpoint || Cost < Best.Cost)
+      Best = {&Endpoint, Cost};
+    if (Draws < Count)
+      Start = Random.below(Count);
+  }
+}
+
+const endpoint *expected_end_picker::pick(const service_name &Service,
+                                          const endpoint_group &Group,
+                                          const std::set<node_id> &Excluded,
+                                          instant Now) {
+  candidate Best;
+  consider(Service, Group.Local, Excluded, Now, Best);
+  consider(Service, Group.Remote, Excluded, Now, Best);
+  return Best.Endpoint;
+}
+
+void expected_end_picker::callStarted(const endpoint &Endpoint, instant) {
+  ++serverOf(Endpoint).Open;
+}
+
+void expected_end_picker::callEnded(const service_name &Service,
+                                    const endpoint &Endpoint,
+                                    const call_observation &Seen, instant Now) {
+  server &Server = serverOf(Endpoint);
+  Server.Open -= Server.Open > 0 ? 1 : 0;
+  if (Seen.Load) {
+    Server.Load = *Seen.Load;
+    Server.OpenAtReport = Server.Open;
+    Server.ReportedAt = Now;
+  }
+  if (Seen.Verdict == call_verdict::unreachable)
+    Server.AvoidUntil = Now + AvoidTime;
+  if (Seen.Verdict == call_verdict::served ||
+      Seen.Verdict == call_verdict::failed)
+    Server.Failures.record(Seen.Verdict == call_verdict::failed, Now);
+  if (Seen.Verdict != call_verdict::served || !Seen.Load)
+    return;
+  double &Mean = TypicalMicros[Service];
+  auto Sample = static_cast<double>(Seen.Load->ServiceTime.count());
+  Mean = Mean == 0 ? Sample : Mean + (Sample - Mean) * NewestWeight;
+}
+
+void expected_end_picker::forgetAbsent(const fleet_view &View) {
+  std::set<node_id> Present;
+  for (const auto &[Service, Versions] : View.Endpoints)
+    for (const auto &[Version, Group] : Versions)
+      for (const auto *Side : {&Group.Local, &Group.Remote})
+        for (const endpoint &Endpoint : *Side)
+          Present.insert(Endpoint.Node);
+  std::erase_if(Servers, [&](const auto &Item) {
+    return Item.second.Open == 0 && !Present.contains(Item.first);
+  });
+}
+
+microseconds expected_end_picker::expectedTime(const service_name &Service,
+                                               const endpoint &Endpoint,
+                                               instant Now) {
+  return microseconds(static_cast<std::int64_t>(
+      timeOf(Service, Endpoint, serverOf(Endpoint), Now)));
+}
+
+const home_load *expected_end_picker::recentLoad(const endpoint &Endpoint,
+                                                 instant Now) const {
+  auto Found = Servers.find(Endpoint.Node);
+  if (Found == Servers.end() || Found->second.Worker != Endpoint.Worker ||
+      Now >= Found->second.ReportedAt + LoadLifetime)
+    return nullptr;
+  return &Found->second.Load;
+}
+
+} // namespace chivebeam
--- a/src/libchivebeam/routing/fleet_view.cpp
+++ b/src/libchivebeam/routing/fleet_view.cpp
@@ -27,7 +27,8 @@
           Member.Region,
           Member.Worker.Version,
           Member.Worker.Slots,
-          Member.Worker.ReadySince};
+          Member.Worker.ReadySince,
+          worker_id()};
 }
 
 version_split splitOf(const snapshot &Config, const service_entry &Service,
--- a/src/libchivebeam/routing/fleet_view.h
+++ b/src/libchivebeam/routing/fleet_view.h
@@ -6,7 +6,7 @@
 
 #include "claims/claim_owner.h"
 #include "config/snapshot.h"
-#include "membership/member_record.h"
+#include "membership/home_record.h"
 #include "moves/move_progress.h"
 
 namespace chivebeam {
@@ -20,6 +20,7 @@
   version_name Version;
   unsigned Slots = 0;
   instant ReadySince;
+  worker_id Worker; ///< empty where backend servers have no names
 };
 
 /// The backend servers of one version, divided by where they are.
--- a/src/libchivebeam/routing/picking_policy.h
+++ b/src/libchivebeam/routing/picking_policy.h
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "routing/fleet_view.h"
+#include "routing/home_load.h"
 
 namespace chivebeam {
 
@@ -20,7 +21,8 @@
 struct call_observation {
   call_verdict Verdict = call_verdict::served;
   microseconds Latency{0};
-  std::optional<int> FreeSlots; ///< in-band load; below zero: calls wait
+  std::optional<int> FreeSlots;  ///< in-band load; below zero: calls wait
+  std::optional<home_load> Load; ///< in-band load in full, where it is told
 };
 
 /// Chooses the backend server for each call, and learns from how calls end.
--- /dev/null
+++ b/src/libchivebeam/routing/service_times.cpp
@@ -0,0 +1,46 @@
+#include "routing/service_times.h"
+
+namespace chivebeam {
+
+namespace {
+
+/// Weight of the newest call: the mean follows a change within ten calls.
+constexpr double NewestWeight = 0.1;
+/// Assumed before the first call of a backend server.
+constexpr microseconds DefaultDuration{50'000};
+/// Routes come and go with the configuration; beyond so many, all start anew.
+constexpr std::size_t MaxRoutes = 1'024;
+
+void smooth(double &Mean, double Sample) {
+  Mean = Mean == 0 ? Sample : Mean + (Sample - Mean) * NewestWeight;
+}
+
+microseconds toMicros(double Micros) {
+  return microseconds(static_cast<std::int64_t>(Micros));
+}
+
+} // namespace
+
+void service_times::record(const route_name &Route, microseconds Duration) {
+  auto Micros = static_cast<double>(Duration.count());
+  smooth(OverallMicros, Micros);
+  if (MicrosByRoute.size() >= MaxRoutes && !MicrosByRoute.contains(Route))
+    MicrosByRoute.clear();
+  smooth(MicrosByRoute[Route], Micros);
+}
+
+microseconds service_times::expected(const route_name &Route) const {
+  auto Found = MicrosByRoute.find(Route);
+  if (Found != MicrosByRoute.end())
+    return toMicros(Found->second);
+  return OverallMicros > 0 ? toMicros(OverallMicros) : DefaultDuration;
+}
+
+microseconds service_times::overall() const { return toMicros(OverallMicros); }
+
+void service_times::reset() {
+  MicrosByRoute.clear();
+  OverallMicros = 0;
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -0,0 +1,169 @@
+#include "routing/slot_queue.h"
+
+#include <algorithm>
+
+namespace chivebeam {
+
+namespace {
+
+/// While fewer calls wait for each slot, one that misses its goal is taken.
+constexpr double LateCallsPerSlot = 0.5;
+/// A call is hopeless when less than this part of its usual time is left, in
+/// percent: half of the calls are faster than the mean.
+constexpr int HopelessPercent = 60;
+/// After a refusal of its own, the backend server gets fewer calls for so long.
+constexpr milliseconds FullTime{500};
+/// Memory for queued requests is bounded by this many calls for each slot.
+constexpr std::size_t MaxWaitingPerSlot = 32;
+
+bool erase(std::vector<slot_request> &Requests, call_number Call) {
+  return std::erase_if(Requests, [&](const slot_request &Request) {
+           return Request.Call == Call;
+         }) > 0;
+}
+
+} // namespace
+
+unsigned slot_queue::limit(instant Now) const {
+  unsigned Less = Now < FullUntil ? Withheld : 0;
+  return Slots > Less ? Slots - Less : std::min(Slots, 1U);
+}
+
+slot_change slot_queue::setSlots(unsigned NewSlots, instant Now) {
+  slot_change Change;
+  Slots = NewSlots;
+  if (Slots > 0) {
+    startWaiting(Now, Change);
+    return Change;
+  }
+  for (const slot_request &Request : Waiting)
+    Change.Refused.push_back(Request.Call);
+  Waiting.clear();
+  return Change;
+}
+
+bool slot_queue::goesBefore(const slot_request &Left,
+                            const slot_request &Right) const {
+  if (Left.Nested != Right.Nested)
+    return Left.Nested;
+  if (Left.Urgency != Right.Urgency)
+    return Left.Urgency < Right.Urgency;
+  return Left.Goal < Right.Goal;
+}
+
+microseconds slot_queue::waitOf(const slot_request &Request,
+                                instant Now) const {
+  unsigned Limit = limit(Now);
+  if (Running < Limit && Waiting.empty())
+    return microseconds(0);
+  // With all slots busy, one becomes free each time divided by slots.
+  microseconds Work = Times.overall();
+  for (const slot_request &Other : Waiting)
+    if (!goesBefore(Request, Other))
+      Work += Times.expected(Other.Route);
+  return Work / std::max(Limit, 1U);
+}
+
+bool slot_queue::isHopeless(const slot_request &Request, instant Now) const {
+  return Now + Times.expected(Request.Route) * HopelessPercent / 100 >
+         Request.Deadline;
+}
+
+bool slot_queue::fits(const slot_request &Request, instant Now) const {
+  if (Waiting.size() >= MaxWaitingPerSlot * std::max(Slots, 1U))
+    return false;
+  microseconds Wait = waitOf(Request, Now);
+  instant End = Now + Wait + Times.expected(Request.Route);
+  if (End <= Request.Goal)
+    return true;
+  if (isHopeless(Request, Now + Wait))
+    return false;
+  return Request.Nested ||
+         static_cast<double>(Waiting.size()) < Slots * LateCallsPerSlot;
+}
+
+slot_answer slot_queue::arrive(const slot_request &Request, instant Now) {
+  unsigned Limit = limit(Now);
+  if (Limit > 0 && Running < Limit && Waiting.empty() &&
+      !isHopeless(Request, Now)) {
+    ++Running;
+    noteRefusal(Request, false, Now);
+    return slot_answer::run;
+  }
+  bool Fits = Limit > 0 && fits(Request, Now);
+  noteRefusal(Request, !Fits, Now);
+  if (!Fits)
+    return slot_answer::refuse;
+  Waiting.push_back(Request);
+  return slot_answer::wait;
+}
+
+void slot_queue::noteRefusal(const slot_request &Request, bool Refused,
+                             instant Now) {
+  if (!Request.Nested)
+    Refusals.record(Refused, Now);
+}
+
+slot_change slot_queue::release(const route_name &Route, microseconds Duration,
+                                instant Now) {
+  Times.record(Route, Duration);
+  return releaseUnused(Now);
+}
+
+slot_change slot_queue::releaseUnused(instant Now) {
+  Running -= Running > 0 ? 1 : 0;
+  slot_change Change = dropHopeless(Now);
+  startWaiting(Now, Change);
+  return Change;
+}
+
+void slot_queue::serverWasFull(instant Now) {
+  Withheld = Now < FullUntil ? std::min(Withheld + 1, Slots) : 1;
+  FullUntil = Now + FullTime;
+}
+
+void slot_queue::abandon(call_number Call) { erase(Waiting, Call); }
+
+slot_change slot_queue::dropHopeless(instant Now) {
+  slot_change Change;
+  std::erase_if(Waiting, [&](const slot_request &Request) {
+    if (!isHopeless(Request, Now))
+      return false;
+    Change.Refused.push_back(Request.Call);
+    noteRefusal(Request, true, Now);
+    return true;
+  });
+  return Change;
+}
+
+void slot_queue::startWaiting(instant Now, slot_change &Change) {
+  while (!Waiting.empty() && Running < limit(Now)) {
+    auto First = std::min_element(
+        Waiting.begin(), Waiting.end(),
+        [this](const slot_request &Left, const slot_request &Right) {
+          return goesBefore(Left, Right);
+        });
+    Change.Started.push_back(First->Call);
+    Waiting.erase(First);
+    ++Running;
+  }
+}
+
+microseconds slot_queue::expectedWait(instant Now) const {
+  slot_request Ordinary;
+  Ordinary.Urgency = ~0U;
+  Ordinary.Goal = instant::max();
+  return waitOf(Ordinary, Now);
+}
+
+home_load slot_queue::load(instant Now) const {
+  home_load Load;
+  Load.Running = Running;
+  Load.Waiting = static_cast<unsigned>(Waiting.size());
+  Load.Limit = limit(Now);
+  Load.ServiceTime = Times.overall();
+  Load.RefusedPermille = static_cast<unsigned>(Refusals.value(Now) * 1'000);
+  return Load;
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <vector>
+
+#include "routing/call_number.h"
+#include "routing/home_load.h"
+#include "routing/recent_share.h"
+#include "routing/service_times.h"
+
+namespace chivebeam {
+
+/// A call as it asks for a slot of the backend server.
+struct slot_request {
+  call_number Call;
+  route_name Route;
+  unsigned Urgency = 0; ///< 0 is the most urgent
+  bool Nested = false;  ///< made by a backend server that runs another call
+  instant Goal;         ///< an answer until then is worth most
+  instant Deadline;     ///< an answer after it is worth nothing
+};
+
+enum class slot_answer {
+  run,    ///< a slot was taken
+  wait,   ///< queued; a later change starts or refuses it
+  refuse, ///< can't be served in time
+};
+
+/// What became of calls that waited.
+struct slot_change {
+  std::vector<call_number> Started; ///< each holds a slot now
+  std::vector<call_number> Refused; ///< never run
+};
+
+/// Keeps the slots of one backend server exactly and decides who waits. Calls
+/// that another call waits for go first, since their caller holds a slot
+/// elsewhere; then the more urgent; then the earlier goal. A call that can't
+/// be answered before its deadline is refused at once, also while it waits.
+/// Calls that would miss their goal are taken only while few others wait, so
+/// that a queue doesn't make every call late. Not thread safe.
+class slot_queue {
+public:
+  /// Changes the slots; with none, every waiting call is refused.
+  slot_change setSlots(unsigned NewSlots, instant Now);
+  unsigned limit(instant Now) const;
+  unsigned running() const { return Running; }
+  std::size_t waiting() const { return Waiting.size(); }
+
+  slot_answer arrive(const slot_request &Request, instant Now);
+  /// Frees the slot of a call that ran for Duration.
+  slot_change release(const route_name &Route, microseconds Duration,
+                      instant Now);
+  /// Frees the slot of a call that was never sent or was broken off.
+  slot_change releaseUnused(instant Now);
+  /// The backend server refused a call although a slot was free for it: fewer
+  /// calls are sent to it for a while.
+  void serverWasFull(instant Now);
+  /// Removes a waiting call whose caller went away.
+  void abandon(call_number Call);
+  /// Refuses waiting calls that can't be served in time any more.
+  slot_change dropHopeless(instant Now);
+
+  /// Returns how long an ordinary call that arrives now would wait.
+  microseconds expectedWait(instant Now) const;
+  microseconds expectedDuration(const route_name &Route) const {
+    return Times.expected(Route);
+  }
+  /// Counts, times and refusals; failures are left at zero.
+  home_load load(instant Now) const;
+  /// Another backend server took the place of the one that was measured.
+  void forgetTimes() { Times.reset(); }
+
+private:
+  bool goesBefore(const slot_request &Left, const slot_request &Right) const;
+  microseconds waitOf(const slot_request &Request, instant Now) const;
+  bool isHopeless(const slot_request &Request, instant Now) const;
+  bool fits(const slot_request &Request, instant Now) const;
+  void startWaiting(instant Now, slot_change &Change);
+  void noteRefusal(const slot_request &Request, bool Refused, instant Now);
+
+  unsigned Slots = 0;
+  unsigned Running = 0;
+  std::vector<slot_request> Waiting;
+  service_times Times;
+  instant FullUntil; ///< one call fewer is sent until then
+  unsigned Withheld = 0;
+  recent_share Refusals{RefusalHalfLife};
+
+  static constexpr microseconds RefusalHalfLife{500'000};
+};
+
+} // namespace chivebeam
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -122,3 +122,71 @@
   2: i64 batch
   3: list<claim_record> records
 }
+
+// Calls and words between the nodes of a mesh. Each frame on a connection is
+// one peer_frame, followed by the body's bytes where it carries one.
+
+struct header_field {
+  1: string name
+  2: string text
+}
+
+struct home_load {
+  1: i32 running
+  2: i32 waiting
+  3: i32 limit
+  4: i64 service_time_us
+  5: i32 failed_permille
+  6: i32 refused_permille
+}
+
+struct home_record {
+  1: string node
+  2: address peer
+  3: string domain
+  4: string worker
+  5: i64 born_ms
+  6: i64 report
+  7: i64 change
+  8: bool node_leaving
+  9: worker_record record
+  // How long the cold start still lasts; clocks need not agree.
+  10: i64 cold_us
+}
+
+// Times are relative to the moment at which the frame is sent.
+struct call_request {
+  1: string id
+  2: string service_name
+  3: string route
+  4: string worker
+  5: string method
+  6: string target
+  7: list<header_field> fields
+  8: i64 time_left_us
+  9: i64 goal_left_us
+  10: i32 urgency
+  11: bool idempotent
+  12: bool nested
+}
+
+struct call_answer {
+  1: i32 outcome
+  2: i32 status
+  3: list<header_field> fields
+  4: home_load load
+  5: i64 wait_us
+  6: string reason
+}
+
+struct peer_frame {
+  1: i32 kind
+  // Number of the call, or of the question, that the frame belongs to.
+  2: i64 call
+  // Number of the newest configuration that the sender holds.
+  3: i64 config
+  4: optional call_request request
+  5: optional call_answer answer
+  6: optional list<home_record> records
+  7: optional evidence_report evidence
+}
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -2575,4 +2575,1364 @@
   out << ")";
 }
 
+
+header_field::~header_field() noexcept {
+}
+
+
+void header_field::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void header_field::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const header_field& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t header_field::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t header_field::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("header_field");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(header_field &a, header_field &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+header_field::header_field(const header_field& other60) {
+  name = other60.name;
+  text = other60.text;
+  __isset = other60.__isset;
+}
+header_field& header_field::operator=(const header_field& other61) {
+  name = other61.name;
+  text = other61.text;
+  __isset = other61.__isset;
+  return *this;
+}
+void header_field::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "header_field(";
+  out << "name=" << to_string(name);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+home_load::~home_load() noexcept {
+}
+
+
+void home_load::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void home_load::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void home_load::__set_limit(const int32_t val) {
+  this->limit = val;
+}
+
+void home_load::__set_service_time_us(const int64_t val) {
+  this->service_time_us = val;
+}
+
+void home_load::__set_failed_permille(const int32_t val) {
+  this->failed_permille = val;
+}
+
+void home_load::__set_refused_permille(const int32_t val) {
+  this->refused_permille = val;
+}
+std::ostream& operator<<(std::ostream& out, const home_load& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t home_load::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_time_us);
+          this->__isset.service_time_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failed_permille);
+          this->__isset.failed_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refused_permille);
+          this->__isset.refused_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t home_load::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("home_load");
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_time_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->service_time_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failed_permille", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->failed_permille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused_permille", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->refused_permille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(home_load &a, home_load &b) {
+  using ::std::swap;
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.limit, b.limit);
+  swap(a.service_time_us, b.service_time_us);
+  swap(a.failed_permille, b.failed_permille);
+  swap(a.refused_permille, b.refused_permille);
+  swap(a.__isset, b.__isset);
+}
+
+home_load::home_load(const home_load& other62) noexcept {
+  running = other62.running;
+  waiting = other62.waiting;
+  limit = other62.limit;
+  service_time_us = other62.service_time_us;
+  failed_permille = other62.failed_permille;
+  refused_permille = other62.refused_permille;
+  __isset = other62.__isset;
+}
+home_load& home_load::operator=(const home_load& other63) noexcept {
+  running = other63.running;
+  waiting = other63.waiting;
+  limit = other63.limit;
+  service_time_us = other63.service_time_us;
+  failed_permille = other63.failed_permille;
+  refused_permille = other63.refused_permille;
+  __isset = other63.__isset;
+  return *this;
+}
+void home_load::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "home_load(";
+  out << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "limit=" << to_string(limit);
+  out << ", " << "service_time_us=" << to_string(service_time_us);
+  out << ", " << "failed_permille=" << to_string(failed_permille);
+  out << ", " << "refused_permille=" << to_string(refused_permille);
+  out << ")";
+}
+
+
+home_record::~home_record() noexcept {
+}
+
+
+void home_record::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void home_record::__set_peer(const address& val) {
+  this->peer = val;
+}
+
+void home_record::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void home_record::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void home_record::__set_born_ms(const int64_t val) {
+  this->born_ms = val;
+}
+
+void home_record::__set_report(const int64_t val) {
+  this->report = val;
+}
+
+void home_record::__set_change(const int64_t val) {
+  this->change = val;
+}
+
+void home_record::__set_node_leaving(const bool val) {
+  this->node_leaving = val;
+}
+
+void home_record::__set_record(const worker_record& val) {
+  this->record = val;
+}
+
+void home_record::__set_cold_us(const int64_t val) {
+  this->cold_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const home_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t home_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->peer.read(iprot);
+          this->__isset.peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born_ms);
+          this->__isset.born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->report);
+          this->__isset.report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->change);
+          this->__isset.change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->node_leaving);
+          this->__isset.node_leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->record.read(iprot);
+          this->__isset.record = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_us);
+          this->__isset.cold_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t home_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("home_record");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->peer.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->born_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->report);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("change", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->change);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node_leaving", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->node_leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRUCT, 9);
+  xfer += this->record.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cold_us", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->cold_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(home_record &a, home_record &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.peer, b.peer);
+  swap(a.domain, b.domain);
+  swap(a.worker, b.worker);
+  swap(a.born_ms, b.born_ms);
+  swap(a.report, b.report);
+  swap(a.change, b.change);
+  swap(a.node_leaving, b.node_leaving);
+  swap(a.record, b.record);
+  swap(a.cold_us, b.cold_us);
+  swap(a.__isset, b.__isset);
+}
+
+home_record::home_record(const home_record& other64) {
+  node = other64.node;
+  peer = other64.peer;
+  domain = other64.domain;
+  worker = other64.worker;
+  born_ms = other64.born_ms;
+  report = other64.report;
+  change = other64.change;
+  node_leaving = other64.node_leaving;
+  record = other64.record;
+  cold_us = other64.cold_us;
+  __isset = other64.__isset;
+}
+home_record& home_record::operator=(const home_record& other65) {
+  node = other65.node;
+  peer = other65.peer;
+  domain = other65.domain;
+  worker = other65.worker;
+  born_ms = other65.born_ms;
+  report = other65.report;
+  change = other65.change;
+  node_leaving = other65.node_leaving;
+  record = other65.record;
+  cold_us = other65.cold_us;
+  __isset = other65.__isset;
+  return *this;
+}
+void home_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "home_record(";
+  out << "node=" << to_string(node);
+  out << ", " << "peer=" << to_string(peer);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "worker=" << to_string(worker);
+  out << ", " << "born_ms=" << to_string(born_ms);
+  out << ", " << "report=" << to_string(report);
+  out << ", " << "change=" << to_string(change);
+  out << ", " << "node_leaving=" << to_string(node_leaving);
+  out << ", " << "record=" << to_string(record);
+  out << ", " << "cold_us=" << to_string(cold_us);
+  out << ")";
+}
+
+
+call_request::~call_request() noexcept {
+}
+
+
+void call_request::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void call_request::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void call_request::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void call_request::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void call_request::__set_method(const std::string& val) {
+  this->method = val;
+}
+
+void call_request::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void call_request::__set_fields(const std::vector<header_field> & val) {
+  this->fields = val;
+}
+
+void call_request::__set_time_left_us(const int64_t val) {
+  this->time_left_us = val;
+}
+
+void call_request::__set_goal_left_us(const int64_t val) {
+  this->goal_left_us = val;
+}
+
+void call_request::__set_urgency(const int32_t val) {
+  this->urgency = val;
+}
+
+void call_request::__set_idempotent(const bool val) {
+  this->idempotent = val;
+}
+
+void call_request::__set_nested(const bool val) {
+  this->nested = val;
+}
+std::ostream& operator<<(std::ostream& out, const call_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t call_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->method);
+          this->__isset.method = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->fields.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->fields.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->fields[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.fields = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->time_left_us);
+          this->__isset.time_left_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->goal_left_us);
+          this->__isset.goal_left_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->urgency);
+          this->__isset.urgency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          this->__isset.idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->nested);
+          this->__isset.nested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t call_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("call_request");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
+    std::vector<header_field> ::const_iterator _iter71;
+    for (_iter71 = this->fields.begin(); _iter71 != this->fields.end(); ++_iter71)
+    {
+      xfer += (*_iter71).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("time_left_us", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->time_left_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("goal_left_us", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->goal_left_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("urgency", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->urgency);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->idempotent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->nested);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(call_request &a, call_request &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.service_name, b.service_name);
+  swap(a.route, b.route);
+  swap(a.worker, b.worker);
+  swap(a.method, b.method);
+  swap(a.target, b.target);
+  swap(a.fields, b.fields);
+  swap(a.time_left_us, b.time_left_us);
+  swap(a.goal_left_us, b.goal_left_us);
+  swap(a.urgency, b.urgency);
+  swap(a.idempotent, b.idempotent);
+  swap(a.nested, b.nested);
+  swap(a.__isset, b.__isset);
+}
+
+call_request::call_request(const call_request& other72) {
+  id = other72.id;
+  service_name = other72.service_name;
+  route = other72.route;
+  worker = other72.worker;
+  method = other72.method;
+  target = other72.target;
+  fields = other72.fields;
+  time_left_us = other72.time_left_us;
+  goal_left_us = other72.goal_left_us;
+  urgency = other72.urgency;
+  idempotent = other72.idempotent;
+  nested = other72.nested;
+  __isset = other72.__isset;
+}
+call_request& call_request::operator=(const call_request& other73) {
+  id = other73.id;
+  service_name = other73.service_name;
+  route = other73.route;
+  worker = other73.worker;
+  method = other73.method;
+  target = other73.target;
+  fields = other73.fields;
+  time_left_us = other73.time_left_us;
+  goal_left_us = other73.goal_left_us;
+  urgency = other73.urgency;
+  idempotent = other73.idempotent;
+  nested = other73.nested;
+  __isset = other73.__isset;
+  return *this;
+}
+void call_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "call_request(";
+  out << "id=" << to_string(id);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "worker=" << to_string(worker);
+  out << ", " << "method=" << to_string(method);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "fields=" << to_string(fields);
+  out << ", " << "time_left_us=" << to_string(time_left_us);
+  out << ", " << "goal_left_us=" << to_string(goal_left_us);
+  out << ", " << "urgency=" << to_string(urgency);
+  out << ", " << "idempotent=" << to_string(idempotent);
+  out << ", " << "nested=" << to_string(nested);
+  out << ")";
+}
+
+
+call_answer::~call_answer() noexcept {
+}
+
+
+void call_answer::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void call_answer::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void call_answer::__set_fields(const std::vector<header_field> & val) {
+  this->fields = val;
+}
+
+void call_answer::__set_load(const home_load& val) {
+  this->load = val;
+}
+
+void call_answer::__set_wait_us(const int64_t val) {
+  this->wait_us = val;
+}
+
+void call_answer::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const call_answer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t call_answer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->fields.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->fields.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              xfer += this->fields[_i78].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.fields = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_us);
+          this->__isset.wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t call_answer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("call_answer");
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
+    std::vector<header_field> ::const_iterator _iter79;
+    for (_iter79 = this->fields.begin(); _iter79 != this->fields.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->load.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->wait_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(call_answer &a, call_answer &b) {
+  using ::std::swap;
+  swap(a.outcome, b.outcome);
+  swap(a.status, b.status);
+  swap(a.fields, b.fields);
+  swap(a.load, b.load);
+  swap(a.wait_us, b.wait_us);
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+call_answer::call_answer(const call_answer& other80) {
+  outcome = other80.outcome;
+  status = other80.status;
+  fields = other80.fields;
+  load = other80.load;
+  wait_us = other80.wait_us;
+  reason = other80.reason;
+  __isset = other80.__isset;
+}
+call_answer& call_answer::operator=(const call_answer& other81) {
+  outcome = other81.outcome;
+  status = other81.status;
+  fields = other81.fields;
+  load = other81.load;
+  wait_us = other81.wait_us;
+  reason = other81.reason;
+  __isset = other81.__isset;
+  return *this;
+}
+void call_answer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "call_answer(";
+  out << "outcome=" << to_string(outcome);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "fields=" << to_string(fields);
+  out << ", " << "load=" << to_string(load);
+  out << ", " << "wait_us=" << to_string(wait_us);
+  out << ", " << "reason=" << to_string(reason);
+  out << ")";
+}
+
+
+peer_frame::~peer_frame() noexcept {
+}
+
+
+void peer_frame::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void peer_frame::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void peer_frame::__set_config(const int64_t val) {
+  this->config = val;
+}
+
+void peer_frame::__set_request(const call_request& val) {
+  this->request = val;
+__isset.request = true;
+}
+
+void peer_frame::__set_answer(const call_answer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+
+void peer_frame::__set_records(const std::vector<home_record> & val) {
+  this->records = val;
+__isset.records = true;
+}
+
+void peer_frame::__set_evidence(const evidence_report& val) {
+  this->evidence = val;
+__isset.evidence = true;
+}
+std::ostream& operator<<(std::ostream& out, const peer_frame& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t peer_frame::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config);
+          this->__isset.config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->records.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
+            {
+              xfer += this->records[_i86].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evidence.read(iprot);
+          this->__isset.evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_frame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_frame");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->config);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.request) {
+    xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.records) {
+    xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+      std::vector<home_record> ::const_iterator _iter87;
+      for (_iter87 = this->records.begin(); _iter87 != this->records.end(); ++_iter87)
+      {
+        xfer += (*_iter87).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evidence) {
+    xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(peer_frame &a, peer_frame &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.call, b.call);
+  swap(a.config, b.config);
+  swap(a.request, b.request);
+  swap(a.answer, b.answer);
+  swap(a.records, b.records);
+  swap(a.evidence, b.evidence);
+  swap(a.__isset, b.__isset);
+}
+
+peer_frame::peer_frame(const peer_frame& other88) {
+  kind = other88.kind;
+  call = other88.call;
+  config = other88.config;
+  request = other88.request;
+  answer = other88.answer;
+  records = other88.records;
+  evidence = other88.evidence;
+  __isset = other88.__isset;
+}
+peer_frame& peer_frame::operator=(const peer_frame& other89) {
+  kind = other89.kind;
+  call = other89.call;
+  config = other89.config;
+  request = other89.request;
+  answer = other89.answer;
+  records = other89.records;
+  evidence = other89.evidence;
+  __isset = other89.__isset;
+  return *this;
+}
+void peer_frame::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "peer_frame(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "call=" << to_string(call);
+  out << ", " << "config=" << to_string(config);
+  out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ", " << "records="; (__isset.records ? (out << to_string(records)) : (out << "<null>"));
+  out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -47,6 +47,18 @@
 
 class claim_segment;
 
+class header_field;
+
+class home_load;
+
+class home_record;
+
+class call_request;
+
+class call_answer;
+
+class peer_frame;
+
 typedef struct _address__isset {
   _address__isset() : ip(false), port(false) {}
   bool ip :1;
@@ -1046,6 +1058,522 @@
 
 std::ostream& operator<<(std::ostream& out, const claim_segment& obj);
 
+typedef struct _header_field__isset {
+  _header_field__isset() : name(false), text(false) {}
+  bool name :1;
+  bool text :1;
+} _header_field__isset;
+
+class header_field : public virtual ::apache::thrift::TBase {
+ public:
+
+  header_field(const header_field&);
+  header_field& operator=(const header_field&);
+  header_field() noexcept
+               : name(),
+                 text() {
+  }
+
+  virtual ~header_field() noexcept;
+  std::string name;
+  std::string text;
+
+  _header_field__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const header_field & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const header_field &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const header_field & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(header_field &a, header_field &b);
+
+std::ostream& operator<<(std::ostream& out, const header_field& obj);
+
+typedef struct _home_load__isset {
+  _home_load__isset() : running(false), waiting(false), limit(false), service_time_us(false), failed_permille(false), refused_permille(false) {}
+  bool running :1;
+  bool waiting :1;
+  bool limit :1;
+  bool service_time_us :1;
+  bool failed_permille :1;
+  bool refused_permille :1;
+} _home_load__isset;
+
+class home_load : public virtual ::apache::thrift::TBase {
+ public:
+
+  home_load(const home_load&) noexcept;
+  home_load& operator=(const home_load&) noexcept;
+  home_load() noexcept
+            : running(0),
+              waiting(0),
+              limit(0),
+              service_time_us(0),
+              failed_permille(0),
+              refused_permille(0) {
+  }
+
+  virtual ~home_load() noexcept;
+  int32_t running;
+  int32_t waiting;
+  int32_t limit;
+  int64_t service_time_us;
+  int32_t failed_permille;
+  int32_t refused_permille;
+
+  _home_load__isset __isset;
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_limit(const int32_t val);
+
+  void __set_service_time_us(const int64_t val);
+
+  void __set_failed_permille(const int32_t val);
+
+  void __set_refused_permille(const int32_t val);
+
+  bool operator == (const home_load & rhs) const
+  {
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(service_time_us == rhs.service_time_us))
+      return false;
+    if (!(failed_permille == rhs.failed_permille))
+      return false;
+    if (!(refused_permille == rhs.refused_permille))
+      return false;
+    return true;
+  }
+  bool operator != (const home_load &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const home_load & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(home_load &a, home_load &b);
+
+std::ostream& operator<<(std::ostream& out, const home_load& obj);
+
+typedef struct _home_record__isset {
+  _home_record__isset() : node(false), peer(false), domain(false), worker(false), born_ms(false), report(false), change(false), node_leaving(false), record(false), cold_us(false) {}
+  bool node :1;
+  bool peer :1;
+  bool domain :1;
+  bool worker :1;
+  bool born_ms :1;
+  bool report :1;
+  bool change :1;
+  bool node_leaving :1;
+  bool record :1;
+  bool cold_us :1;
+} _home_record__isset;
+
+class home_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  home_record(const home_record&);
+  home_record& operator=(const home_record&);
+  home_record() noexcept
+              : node(),
+                domain(),
+                worker(),
+                born_ms(0),
+                report(0),
+                change(0),
+                node_leaving(0),
+                cold_us(0) {
+  }
+
+  virtual ~home_record() noexcept;
+  std::string node;
+  address peer;
+  std::string domain;
+  std::string worker;
+  int64_t born_ms;
+  int64_t report;
+  int64_t change;
+  bool node_leaving;
+  worker_record record;
+  int64_t cold_us;
+
+  _home_record__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_peer(const address& val);
+
+  void __set_domain(const std::string& val);
+
+  void __set_worker(const std::string& val);
+
+  void __set_born_ms(const int64_t val);
+
+  void __set_report(const int64_t val);
+
+  void __set_change(const int64_t val);
+
+  void __set_node_leaving(const bool val);
+
+  void __set_record(const worker_record& val);
+
+  void __set_cold_us(const int64_t val);
+
+  bool operator == (const home_record & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(peer == rhs.peer))
+      return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(born_ms == rhs.born_ms))
+      return false;
+    if (!(report == rhs.report))
+      return false;
+    if (!(change == rhs.change))
+      return false;
+    if (!(node_leaving == rhs.node_leaving))
+      return false;
+    if (!(record == rhs.record))
+      return false;
+    if (!(cold_us == rhs.cold_us))
+      return false;
+    return true;
+  }
+  bool operator != (const home_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const home_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(home_record &a, home_record &b);
+
+std::ostream& operator<<(std::ostream& out, const home_record& obj);
+
+typedef struct _call_request__isset {
+  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false) {}
+  bool id :1;
+  bool service_name :1;
+  bool route :1;
+  bool worker :1;
+  bool method :1;
+  bool target :1;
+  bool fields :1;
+  bool time_left_us :1;
+  bool goal_left_us :1;
+  bool urgency :1;
+  bool idempotent :1;
+  bool nested :1;
+} _call_request__isset;
+
+class call_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  call_request(const call_request&);
+  call_request& operator=(const call_request&);
+  call_request() noexcept
+               : id(),
+                 service_name(),
+                 route(),
+                 worker(),
+                 method(),
+                 target(),
+                 time_left_us(0),
+                 goal_left_us(0),
+                 urgency(0),
+                 idempotent(0),
+                 nested(0) {
+  }
+
+  virtual ~call_request() noexcept;
+  std::string id;
+  std::string service_name;
+  std::string route;
+  std::string worker;
+  std::string method;
+  std::string target;
+  std::vector<header_field>  fields;
+  int64_t time_left_us;
+  int64_t goal_left_us;
+  int32_t urgency;
+  bool idempotent;
+  bool nested;
+
+  _call_request__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_route(const std::string& val);
+
+  void __set_worker(const std::string& val);
+
+  void __set_method(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_fields(const std::vector<header_field> & val);
+
+  void __set_time_left_us(const int64_t val);
+
+  void __set_goal_left_us(const int64_t val);
+
+  void __set_urgency(const int32_t val);
+
+  void __set_idempotent(const bool val);
+
+  void __set_nested(const bool val);
+
+  bool operator == (const call_request & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(route == rhs.route))
+      return false;
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(method == rhs.method))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(fields == rhs.fields))
+      return false;
+    if (!(time_left_us == rhs.time_left_us))
+      return false;
+    if (!(goal_left_us == rhs.goal_left_us))
+      return false;
+    if (!(urgency == rhs.urgency))
+      return false;
+    if (!(idempotent == rhs.idempotent))
+      return false;
+    if (!(nested == rhs.nested))
+      return false;
+    return true;
+  }
+  bool operator != (const call_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const call_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(call_request &a, call_request &b);
+
+std::ostream& operator<<(std::ostream& out, const call_request& obj);
+
+typedef struct _call_answer__isset {
+  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false) {}
+  bool outcome :1;
+  bool status :1;
+  bool fields :1;
+  bool load :1;
+  bool wait_us :1;
+  bool reason :1;
+} _call_answer__isset;
+
+class call_answer : public virtual ::apache::thrift::TBase {
+ public:
+
+  call_answer(const call_answer&);
+  call_answer& operator=(const call_answer&);
+  call_answer() noexcept
+              : outcome(0),
+                status(0),
+                wait_us(0),
+                reason() {
+  }
+
+  virtual ~call_answer() noexcept;
+  int32_t outcome;
+  int32_t status;
+  std::vector<header_field>  fields;
+  home_load load;
+  int64_t wait_us;
+  std::string reason;
+
+  _call_answer__isset __isset;
+
+  void __set_outcome(const int32_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_fields(const std::vector<header_field> & val);
+
+  void __set_load(const home_load& val);
+
+  void __set_wait_us(const int64_t val);
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const call_answer & rhs) const
+  {
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(fields == rhs.fields))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    if (!(wait_us == rhs.wait_us))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const call_answer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const call_answer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(call_answer &a, call_answer &b);
+
+std::ostream& operator<<(std::ostream& out, const call_answer& obj);
+
+typedef struct _peer_frame__isset {
+  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false) {}
+  bool kind :1;
+  bool call :1;
+  bool config :1;
+  bool request :1;
+  bool answer :1;
+  bool records :1;
+  bool evidence :1;
+} _peer_frame__isset;
+
+class peer_frame : public virtual ::apache::thrift::TBase {
+ public:
+
+  peer_frame(const peer_frame&);
+  peer_frame& operator=(const peer_frame&);
+  peer_frame() noexcept
+             : kind(0),
+               call(0),
+               config(0) {
+  }
+
+  virtual ~peer_frame() noexcept;
+  int32_t kind;
+  int64_t call;
+  int64_t config;
+  call_request request;
+  call_answer answer;
+  std::vector<home_record>  records;
+  evidence_report evidence;
+
+  _peer_frame__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_call(const int64_t val);
+
+  void __set_config(const int64_t val);
+
+  void __set_request(const call_request& val);
+
+  void __set_answer(const call_answer& val);
+
+  void __set_records(const std::vector<home_record> & val);
+
+  void __set_evidence(const evidence_report& val);
+
+  bool operator == (const peer_frame & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(call == rhs.call))
+      return false;
+    if (!(config == rhs.config))
+      return false;
+    if (__isset.request != rhs.__isset.request)
+      return false;
+    else if (__isset.request && !(request == rhs.request))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    if (__isset.records != rhs.__isset.records)
+      return false;
+    else if (__isset.records && !(records == rhs.records))
+      return false;
+    if (__isset.evidence != rhs.__isset.evidence)
+      return false;
+    else if (__isset.evidence && !(evidence == rhs.evidence))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_frame &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_frame & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(peer_frame &a, peer_frame &b);
+
+std::ostream& operator<<(std::ostream& out, const peer_frame& obj);
+
 }} // namespace
 
 #endif
--- a/tests/data/call_fixture.cpp
+++ b/tests/data/call_fixture.cpp
@@ -1,6 +1,5 @@
 #include "call_fixture.h"
 
-#include <boost/asio/read_until.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "config/compiler.h"
@@ -31,65 +30,6 @@
 
 } // namespace
 
-scripted_worker::scripted_worker(asio::io_context &IoContext, script NewScript)
-    : Context(IoContext), Acceptor(IoContext), Script(std::move(NewScript)) {
-  Bound = openAcceptor(Acceptor, AnyPort).value();
-  asio::co_spawn(Context, acceptLoop(), asio::detached);
-}
-
-awaitable<void> scripted_worker::acceptLoop() {
-  for (;;) {
-    error_code Code;
-    tcp::socket Socket = co_await Acceptor.async_accept(orError(Code));
-    if (Code)
-      co_return;
-    asio::co_spawn(Context, serve(std::move(Socket)), asio::detached);
-  }
-}
-
-awaitable<void> scripted_worker::serve(tcp::socket Socket) {
-  co_await Script(Socket);
-}
-
-awaitable<void> caller::connect(address To) {
-  co_await Stream.async_connect(toTcp(To), asio::use_awaitable);
-}
-
-awaitable<void> caller::send(std::string Bytes) {
-  error_code Ignored; // the other side may answer before it has read all
-  co_await asio::async_write(Stream, asio::buffer(Bytes), orError(Ignored));
-}
-
-awaitable<std::optional<text_answer>> caller::read(bool Head) {
-  http::response_parser<http::string_body> Parser;
-  Parser.skip(Head);
-  error_code Code;
-  co_await http::async_read(Stream, Buffer, Parser, orError(Code));
-  if (Code)
-    co_return std::nullopt;
-  co_return Parser.release();
-}
-
-awaitable<std::optional<text_answer>> caller::call(std::string Bytes) {
-  co_await send(std::move(Bytes));
-  co_return co_await read();
-}
-
-awaitable<std::string> caller::readLine() {
-  std::string Line;
-  error_code Code;
-  std::size_t Size = co_await asio::async_read_until(
-      Stream.socket(), asio::dynamic_buffer(Line), "\r\n\r\n", orError(Code));
-  co_return Line.substr(0, std::min(Size, Line.find('\r')));
-}
-
-awaitable<bool> caller::ended() {
-  char Byte = 0;
-  error_code Code;
-  co_await Stream.async_read_some(asio::buffer(&Byte, 1), orError(Code));
-  co_return static_cast<bool>(Code);
-}
-
 call_fixture::call_fixture() {
   Settings.Node = node_id("entry");
   Settings.Domain = failure_domain("a");
@@ -159,49 +99,4 @@
     co_await asio::post(Context, asio::use_awaitable);
 }
 
-awaitable<std::optional<http::request<http::string_body>>>
-readRequest(tcp::socket &Socket, beast::flat_buffer &Buffer) {
-  http::request_parser<http::string_body> Parser;
-  Parser.body_limit(64 << 20);
-  error_code Code;
-  co_await http::async_read(Socket, Buffer, Parser, orError(Code));
-  if (Code)
-    co_return std::nullopt;
-  co_return Parser.release();
-}
-
-awaitable<void> write(tcp::socket &Socket, std::string Bytes) {
-  error_code Ignored;
-  co_await asio::async_write(Socket, asio::buffer(Bytes), orError(Ignored));
-}
-
-void reset(tcp::socket &Socket) {
-  Socket.set_option(asio::socket_base::linger(true, 0));
-  Socket.close();
-}
-
-scripted_worker::script echo(unsigned *Requests) {
-  return [Requests](tcp::socket &Socket) -> awaitable<void> {
-    beast::flat_buffer Buffer;
-    while (auto Request = co_await readRequest(Socket, Buffer)) {
-      if (Requests)
-        ++*Requests;
-      text_answer Answer(http::status::ok, 11);
-      Answer.body() = Request->body();
-      Answer.prepare_payload();
-      error_code Code;
-      co_await http::async_write(Socket, Answer, orError(Code));
-    }
-  };
-}
-
-std::string get(std::string Path, std::string Fields) {
-  return "GET " + Path + " HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n";
-}
-
-std::string post(std::string Path, std::string Body, std::string Fields) {
-  return "POST " + Path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-         std::to_string(Body.size()) + "\r\n" + Fields + "\r\n" + Body;
-}
-
 } // namespace chivebeam::tests
--- /dev/null
+++ b/tests/mesh/mesh_fixture.cpp
@@ -0,0 +1,240 @@
+#include "mesh_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/http_dialect.h"
+#include "platform/kv_store.h"
+#include "platform/operator_orders.h"
+
+namespace chivebeam::tests {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr seconds Watchdog{60};
+constexpr seconds ConditionLimit{20};
+const address AnyPort{"127.0.0.1", 0};
+
+mesh_parts parts() {
+  mesh_parts Parts;
+  Parts.Calls = std::make_unique<platform::http_dialect>();
+  Parts.Workers = std::make_unique<platform::report_dialect>();
+  Parts.Orders = std::make_unique<platform::operator_orders>();
+  Parts.OpenStore = [](const address &Server) {
+    return std::make_unique<platform::kv_store>(Server);
+  };
+  Parts.ReadSettings = []() -> checked<mesh_settings> {
+    return tl::unexpected(error_list{error{}});
+  };
+  return Parts;
+}
+
+json::object route(std::string Name, std::string Prefix, std::string Service,
+                   std::string Kind, double TimeoutS) {
+  return {{"name", Name},         {"prefix", Prefix},      {"routeType", Kind},
+          {"timeoutS", TimeoutS}, {"targetLatencyS", 0.2}, {"priority", 1},
+          {"service", Service},   {"maxAttempts", 3}};
+}
+
+/// Contexts with work whose objects must outlive them end with the process.
+std::vector<std::shared_ptr<void>> &ended() {
+  static std::vector<std::shared_ptr<void>> Ended;
+  return Ended;
+}
+
+template <typename Value> void keepForever(Value Item) {
+  ended().push_back(std::make_shared<Value>(std::move(Item)));
+}
+
+} // namespace
+
+mesh_fixture::mesh_fixture()
+    : Context(std::make_unique<asio::io_context>(1)),
+      Store(std::make_unique<stand_ins::platform_store>(*Context)),
+      StoreAddress(Store->listen()) {}
+
+mesh_fixture::~mesh_fixture() {
+  Context->stop();
+  keepForever(std::move(Context));
+  keepForever(std::move(Store));
+  keepForever(std::move(Workers));
+  keepForever(std::move(Nodes));
+}
+
+scripted_worker::script mesh_fixture::serverOf(mesh_worker &Worker) {
+  return [&Worker](tcp::socket &Socket) -> awaitable<void> {
+    beast::flat_buffer Buffer;
+    while (auto Request = co_await readRequest(Socket, Buffer)) {
+      Worker.Received.push_back(*Request);
+      ++Worker.Running;
+      Worker.MostRunning = std::max(Worker.MostRunning, Worker.Running);
+      if (Worker.Script.Work.count() > 0)
+        co_await sleepFor(Worker.Script.Work);
+      --Worker.Running;
+      if (Worker.Script.Answer) {
+        co_await Worker.Script.Answer(Socket, *Request);
+        continue;
+      }
+      text_answer Answer(http::status::ok, 11);
+      Answer.set("Request-Id", (*Request)["Request-Id"]);
+      Answer.set("Response-Signature", "signed");
+      Answer.body() = Worker.Id + ":" + Request->body();
+      Answer.prepare_payload();
+      error_code Code;
+      co_await http::async_write(Socket, Answer, orError(Code));
+    }
+  };
+}
+
+std::size_t mesh_fixture::addNode(std::string Service, std::string Domain,
+                                  unsigned Slots) {
+  std::size_t Index = Nodes.size();
+  Workers.push_back(std::make_unique<mesh_worker>());
+  mesh_worker &Worker = *Workers.back();
+  Worker.Id = "w-" + std::to_string(Index);
+  Worker.Service = Service;
+  Worker.Slots = Slots;
+  Worker.Server = std::make_unique<scripted_worker>(*Context, serverOf(Worker));
+  mesh_settings Settings;
+  Settings.Node = node_id("node-" + std::to_string(Index));
+  Settings.Domain = failure_domain(Domain);
+  Settings.Service = service_name(Service);
+  Settings.Callers = AnyPort;
+  Settings.Readiness = AnyPort;
+  Settings.WorkerReports = AnyPort;
+  Settings.Peers = AnyPort;
+  Settings.Worker = Worker.Server->bound();
+  Settings.Store = StoreAddress;
+  Settings.Repeats.Slack = 100;
+  Stopped.push_back(false);
+  Nodes.push_back(
+      std::make_unique<mesh_node>(*Context, std::move(Settings), parts()));
+  result<void> Started =
+      Nodes.back()->start([this, Index] { Stopped[Index] = true; });
+  BOOST_REQUIRE(Started);
+  return Index;
+}
+
+void mesh_fixture::configure(std::uint64_t Number,
+                             const std::vector<std::string> &Services,
+                             double TimeoutS) {
+  json::array Names;
+  json::array Routes;
+  for (const std::string &Service : Services) {
+    Names.push_back(json::object{{"name", Service}, {"maxConnections", 110}});
+    Routes.push_back(route("read-" + Service, "/" + Service + "/", Service,
+                           "safe", TimeoutS));
+    Routes.push_back(route("pay-" + Service, "/pay/" + Service + "/", Service,
+                           "unsafe", TimeoutS));
+  }
+  json::object Config{
+      {"version", Number},
+      {"services", std::move(Names)},
+      {"limits",
+       {{"maxHeaderBytes", 16'384},
+        {"maxBodyBytes", 1 << 20},
+        {"headerTimeoutS", 3},
+        {"idleTimeoutS", 15}}},
+      {"virtualHosts",
+       {json::object{{"host", "shop.example"}, {"paths", Routes}}}}};
+  Store->put("op/config", json::serialize(Config));
+}
+
+awaitable<unsigned> mesh_fixture::report(std::size_t Index, std::string State) {
+  mesh_worker &Worker = *Workers[Index];
+  json::object Body{{"address", Worker.Server->bound().text()},
+                    {"born", Worker.BornMs},
+                    {"info",
+                     {{"service", Worker.Service},
+                      {"version", Worker.Version},
+                      {"zone", "zone"},
+                      {"slots", Worker.Slots}}},
+                    {"status",
+                     {{"state", State},
+                      {"sequence", ++Worker.Sequence},
+                      {"coldRemainingS", 0}}}};
+  result<http_response> Answer =
+      co_await httpCall(Nodes[Index]->settings().WorkerReports,
+                        makeRequest(http::verb::put, "/instances/" + Worker.Id,
+                                    json::serialize(Body)),
+                        seconds(5), 1 << 16);
+  co_return Answer ? Answer->result_int() : 0;
+}
+
+awaitable<unsigned> mesh_fixture::leave(std::size_t Index) {
+  json::object Body{{"born", Workers[Index]->BornMs}};
+  result<http_response> Answer = co_await httpCall(
+      Nodes[Index]->settings().WorkerReports,
+      makeRequest(http::verb::delete_, "/instances/" + Workers[Index]->Id,
+                  json::serialize(Body)),
+      seconds(5), 1 << 16);
+  co_return Answer ? Answer->result_int() : 0;
+}
+
+awaitable<void> mesh_fixture::ready() {
+  for (std::size_t Index = 0; Index < Nodes.size(); ++Index) {
+    unsigned Status = co_await report(Index);
+    BOOST_TEST(Status == 200u);
+  }
+  for (auto &Node : Nodes)
+    co_await until([&] { return Node->isReady(); });
+  // Each node's record reaches the others through the store.
+  co_await until([&] {
+    for (std::size_t Index = 0; Index < Nodes.size(); ++Index) {
+      std::string Record =
+          Store->value("chivebeam/home/node-" + std::to_string(Index));
+      if (Record.find("\"state\":1") == std::string::npos)
+        return false;
+    }
+    return true;
+  });
+  co_await pause(milliseconds(150));
+}
+
+awaitable<std::optional<text_answer>> mesh_fixture::call(std::size_t Node,
+                                                         std::string Request) {
+  caller Caller(*Context);
+  co_await Caller.connect(Nodes[Node]->settings().Callers);
+  co_return co_await Caller.call(std::move(Request));
+}
+
+std::string mesh_fixture::get(std::string Path, std::string Id,
+                              int DeadlineMs) {
+  return "GET " + Path +
+         " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + Id +
+         "\r\nDeadline-Ms: " + std::to_string(DeadlineMs) + "\r\n\r\n";
+}
+
+std::string mesh_fixture::post(std::string Path, std::string Id,
+                               std::string Body, int DeadlineMs) {
+  return "POST " + Path +
+         " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + Id +
+         "\r\nDeadline-Ms: " + std::to_string(DeadlineMs) +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+void mesh_fixture::run(std::function<awaitable<void>()> Test) {
+  bool Ended = false;
+  asio::co_spawn(*Context, Test(), [&](std::exception_ptr Failure) {
+    Ended = true;
+    Context->stop();
+    if (Failure)
+      std::rethrow_exception(Failure);
+  });
+  Context->run_for(Watchdog);
+  BOOST_TEST(Ended, "the test did not end");
+}
+
+awaitable<void> mesh_fixture::until(std::function<bool()> Condition) {
+  asio::steady_timer Limit(*Context, ConditionLimit);
+  bool Late = false;
+  Limit.async_wait([&Late](error_code Code) { Late = !Code; });
+  while (!Condition() && !Late)
+    co_await sleepFor(milliseconds(5));
+  Limit.cancel();
+  BOOST_TEST(!Late, "a condition never held");
+}
+
+} // namespace chivebeam::tests
--- /dev/null
+++ b/tests/mesh/mesh_fixture.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "mesh/mesh_node.h"
+#include "stand_ins/platform_store.h"
+#include "stand_ins/scripted_http.h"
+
+namespace chivebeam::tests {
+
+/// What a backend server of the platform does with a request.
+struct worker_script {
+  /// Answers a request; the default is 200 with the request's body.
+  std::function<awaitable<void>(tcp::socket &Socket,
+                                const http::request<http::string_body> &)>
+      Answer;
+  milliseconds Work{0};
+};
+
+/// One backend server of the platform, as far as nodes see it.
+struct mesh_worker {
+  std::string Id;
+  std::string Service;
+  std::string Version = "v1";
+  std::int64_t BornMs = 1;
+  unsigned Slots = 4;
+  std::uint64_t Sequence = 0;
+  worker_script Script;
+  std::unique_ptr<scripted_worker> Server;
+  std::vector<http::request<http::string_body>> Received;
+  unsigned Running = 0;
+  unsigned MostRunning = 0;
+};
+
+/// The platform's store, nodes and their backend servers on one context.
+class mesh_fixture {
+public:
+  mesh_fixture();
+  ~mesh_fixture();
+
+  /// Adds a node with a backend server beside it; returns its index.
+  std::size_t addNode(std::string Service, std::string Domain = "zone-a",
+                      unsigned Slots = 4);
+  mesh_node &node(std::size_t Index) { return *Nodes[Index]; }
+  mesh_worker &worker(std::size_t Index) { return *Workers[Index]; }
+  stand_ins::platform_store &store() { return *Store; }
+  asio::io_context &context() { return *Context; }
+
+  /// Writes a configuration in which /SERVICE/ leads to each service, safe,
+  /// and /pay/SERVICE/ is one that may run once at most.
+  void configure(std::uint64_t Number, const std::vector<std::string> &Services,
+                 double TimeoutS = 2.0);
+  /// Sends a report of the backend server; returns the status.
+  awaitable<unsigned> report(std::size_t Index, std::string State = "ready");
+  awaitable<unsigned> leave(std::size_t Index);
+  /// Reports for every backend server and waits until each node is ready.
+  awaitable<void> ready();
+  /// Calls through a node on a connection of its own.
+  awaitable<std::optional<text_answer>> call(std::size_t Node,
+                                             std::string Request);
+  std::string get(std::string Path, std::string Id, int DeadlineMs = 2'000);
+  std::string post(std::string Path, std::string Id, std::string Body,
+                   int DeadlineMs = 2'000);
+
+  /// Runs a test to its end; fails it after a long time.
+  void run(std::function<awaitable<void>()> Test);
+  /// Waits until the condition holds; fails the test if it never does.
+  awaitable<void> until(std::function<bool()> Condition);
+  /// Lets other work go on for a while.
+  awaitable<void> pause(milliseconds Time) { return sleepFor(Time); }
+
+private:
+  scripted_worker::script serverOf(mesh_worker &Worker);
+
+  std::unique_ptr<asio::io_context> Context;
+  std::unique_ptr<stand_ins::platform_store> Store;
+  address StoreAddress;
+  std::vector<std::unique_ptr<mesh_worker>> Workers;
+  std::vector<std::unique_ptr<mesh_node>> Nodes;
+  std::vector<bool> Stopped;
+};
+
+} // namespace chivebeam::tests
