--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -136,6 +136,9 @@
                                           cancel_signal Cancel) {
   entry_call Entry;
   Entry.View = State.view();
+  if (Closed)
+    co_return entry_result{
+        entry_result::kind::own, {}, own_answer::not_run, spread(NobodyWait)};
   if (!Entry.View)
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::not_ready, spread(NobodyWait)};
@@ -154,7 +157,12 @@
 const endpoint *entry_router::choose(entry_call &Entry, instant Now) {
   const service_name &Service = Entry.Call.Service;
   const endpoint_group *Group = findGroup(*Entry.View, Service, Entry.Version);
-  return Group ? Picker.pick(Service, *Group, Entry.Tried, Now) : nullptr;
+  if (!Group)
+    return nullptr;
+  call_needs Needs{Entry.Call.Route, Entry.Call.Goal - Now,
+                   Entry.Call.Deadline - Now,
+                   Entry.Call.Body ? Entry.Call.Body->size() : 0};
+  return Picker.pickFor(*Group, Entry.Tried, Needs, Now);
 }
 
 bool entry_router::hasOthers(const entry_call &Entry) const {
@@ -252,6 +260,8 @@
       (Answer.Load.Limit > 0 || Answer.Status > 0 || Answer.Wait.count() > 0);
   if (Told)
     Seen.Load = Answer.Load;
+  if (Answer.Outcome == attempt_outcome::answered && Answer.Ran.count() > 0)
+    Picker.ran(Entry.Call.Route, Endpoint, Answer.Ran);
   Picker.callEnded(Entry.Call.Service, Endpoint, Seen, Now);
 }
 
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -52,6 +52,8 @@
 
   /// The view has changed.
   void viewChanged();
+  /// Refuses calls from now on; those under way go on to their end.
+  void close() { Closed = true; }
   std::size_t openCalls() const { return OpenCalls; }
 
 private:
@@ -101,6 +103,7 @@
   token_bucket PlainLines; ///< log lines of calls that went as they should
   std::uint64_t OmittedLines = 0;
   std::size_t OpenCalls = 0;
+  bool Closed = false;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -47,12 +47,12 @@
   }
   Worker = Report;
   bool Takes = Report.Worker.State == worker_state::ready && !Stopping;
-  apply(Queue.setSlots(Takes ? Report.Worker.Slots : 0, currentTime()));
+  apply(Queue.setSlots(Takes ? Report.Worker.Slots : 0));
 }
 
 void home_runner::stop() {
   Stopping = true;
-  apply(Queue.setSlots(0, currentTime()));
+  apply(Queue.setSlots(0));
 }
 
 void home_runner::apply(const slot_change &Change) {
@@ -76,7 +76,13 @@
   Job->Call = std::move(Call);
   Job->Cancel = Cancel;
   Job->Reply = std::move(Reply);
-  Job->Number = call_number(++NextNumber);
+  const mesh_call &Asked = Job->Call;
+  Job->Slot = {call_number(++NextNumber),
+               Asked.Route,
+               Asked.Urgency,
+               Asked.Nested,
+               Asked.Goal,
+               Asked.Deadline};
   ++Active;
   asio::co_spawn(Context, serve(Job), asio::detached);
 }
@@ -110,9 +116,7 @@
     co_return refuse(*Job, "another backend server is here, or none");
   if (Now < UnreachableUntil)
     co_return refuse(*Job, "the backend server can't be reached");
-  slot_request Request{Job->Number, Call.Route, Call.Urgency,
-                       Call.Nested, Call.Goal,  Call.Deadline};
-  slot_answer Answer = Queue.arrive(Request, Now);
+  slot_answer Answer = Queue.arrive(Job->Slot, Now);
   if (Answer == slot_answer::refuse)
     co_return refuse(*Job, "no slot would be free in time");
   bool Runs = true;
@@ -122,15 +126,14 @@
     co_return refuse(*Job, Job->Cancel.raised()
                                ? "its caller went away while it waited"
                                : "no slot became free in time");
-  Job->HoldsSlot = true;
   co_await runOnWorker(Job);
 }
 
 awaitable<bool> home_runner::waitForSlot(job_ptr Job) {
   one_shot<bool> Turn(Context.get_executor());
-  Waiting.emplace(Job->Number.value(), Turn);
+  Waiting.emplace(Job->Slot.Call.value(), Turn);
   // It leaves the queue at once, so that no slot is given to it any more.
-  auto GiveUp = [this, Turn, Number = Job->Number] {
+  auto GiveUp = [this, Turn, Number = Job->Slot.Call] {
     Queue.abandon(Number);
     Turn.set(false);
   };
@@ -140,10 +143,10 @@
   std::optional<bool> Started =
       co_await Turn.wait(Job->Call.Deadline - currentTime());
   Job->Cancel.onRaise(nullptr);
-  Waiting.erase(Job->Number.value());
+  Waiting.erase(Job->Slot.Call.value());
   bool Runs = Started.value_or(false);
   if (!Runs)
-    Queue.abandon(Job->Number);
+    Queue.abandon(Job->Slot.Call);
   co_return Runs;
 }
 
@@ -208,24 +211,23 @@
       Call, Fields, Dialect, Call.Deadline + LastWordTime, Cancel);
   instant Ended = currentTime();
   keep(std::move(Connection));
-  noteEnd(*Job, Answer, Ended - Now, Ended);
+  Answer.Ran = Ended - Now;
+  noteEnd(*Job, Answer, Ended);
   finish(*Job, std::move(Answer));
 }
 
 void home_runner::noteEnd(const job &Job, const mesh_answer &Answer,
-                          microseconds Duration, instant Now) {
+                          instant Now) {
   bool BrokenOff = Job.Cancel.raised() && Answer.Status == 0;
   bool Refused = Answer.Outcome == attempt_outcome::server_refused;
-  if (Refused)
-    Queue.serverWasFull(Now);
   if (BrokenOff || Refused) {
     apply(Queue.releaseUnused(Now));
     return;
   }
   bool Failed = Answer.Outcome != attempt_outcome::answered;
   Failures.record(Failed, Now);
-  Evidence[Job.Call.Route].record(Failed, Duration);
-  apply(Queue.release(Job.Call.Route, Duration, Now));
+  Evidence[Job.Call.Route].record(Failed, Answer.Ran);
+  apply(Queue.release(Job.Slot, Answer.Ran, Now));
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -43,8 +43,7 @@
     mesh_call Call;
     cancel_signal Cancel;
     reply Reply;
-    call_number Number;
-    bool HoldsSlot = false;
+    slot_request Slot;
   };
   using job_ptr = std::shared_ptr<job>;
 
@@ -57,8 +56,7 @@
   bool isFor(const mesh_call &Call) const;
   void finish(const job &Job, mesh_answer Answer);
   void refuse(const job &Job, std::string Reason);
-  void noteEnd(const job &Job, const mesh_answer &Answer, microseconds Duration,
-               instant Now);
+  void noteEnd(const job &Job, const mesh_answer &Answer, instant Now);
   void apply(const slot_change &Change);
 
   static constexpr microseconds FailureHalfLife{2'000'000};
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -36,6 +36,7 @@
   header_list Fields;
   shared_body Body;
   home_load Load;
+  microseconds Ran{0};      ///< how long the backend server took; zero: not run
   microseconds Wait{0};     ///< after a refusal: until there may be room
   std::string Reason;       ///< why there is no answer, for the log
   bool Unreachable = false; ///< the home node itself could not be reached
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -23,7 +23,7 @@
 /// Nodes whose entries vanished are asked so often whether they live.
 constexpr milliseconds DoubtfulPingInterval{500};
 /// Callers leave a node within two missed questions, a second apart.
-constexpr milliseconds CallersLeave{2'600};
+constexpr milliseconds CallersLeave{2'800};
 /// The last part of the grace period is kept for the end itself.
 constexpr int GracePartsUsed = 5;
 constexpr int GraceParts = 6;
@@ -295,6 +295,8 @@
   instant Started = currentTime();
   instant Latest = Started + Settings.Grace * GracePartsUsed / GraceParts;
   co_await sleepFor(std::min<microseconds>(CallersLeave, Latest - Started));
+  // A call that is taken now still ends before the process has to.
+  Router.close();
   instant QuietSince;
   while (currentTime() < Latest) {
     for (consumer_session *Session : OpenSessions)
--- a/src/chivebeam/mesh/node_registrar.cpp
+++ b/src/chivebeam/mesh/node_registrar.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 /// A dead node's record is gone after so long. Calls find out much sooner.
-constexpr seconds LeaseTime{3};
-/// The lease is renewed three times in its life.
-constexpr milliseconds KeepInterval{1'000};
+constexpr seconds LeaseTime{4};
+/// The lease is renewed nearly three times in its life.
+constexpr milliseconds KeepInterval{1'400};
 constexpr milliseconds RetryInterval{150};
 /// A backend server waits a second for its acknowledgement.
 constexpr milliseconds LeavingWriteLimit{400};
--- a/src/chivebeam/mesh/store_feed.cpp
+++ b/src/chivebeam/mesh/store_feed.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr microseconds MinBackoff = milliseconds(50);
-constexpr microseconds MaxBackoff = milliseconds(500);
+constexpr microseconds MaxBackoff = milliseconds(700);
 /// Changes that follow each other more closely make the feed pause.
 constexpr milliseconds StormGap{350};
 /// How long it pauses; a change is in force well within a second all the same.
--- a/src/chivebeam/mesh/word_exchange.cpp
+++ b/src/chivebeam/mesh/word_exchange.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// A configuration that was asked for has so long to arrive before another
-/// channel is asked.
-constexpr milliseconds ConfigAnswerTime{300};
+/// The store brings a new configuration to every node by itself; a peer is
+/// asked for one that has not come by then, and again after as long.
+constexpr milliseconds ConfigPatience{600};
 
 } // namespace
 
@@ -35,10 +35,16 @@
 
 void word_exchange::askIfNewer(const peer_frame &Frame,
                                frame_channel &Channel) {
+  if (Frame.Config <= Words.configNumber()) {
+    BehindSince = instant();
+    return;
+  }
   instant Now = currentTime();
-  if (Frame.Config <= Words.configNumber() || Now < AskedAt + ConfigAnswerTime)
+  if (BehindSince == instant())
+    BehindSince = Now;
+  if (Now < BehindSince + ConfigPatience)
     return;
-  AskedAt = Now;
+  BehindSince = Now;
   Channel.send(frame(frame_kind::config_query));
 }
 
--- a/src/chivebeam/mesh/word_exchange.h
+++ b/src/chivebeam/mesh/word_exchange.h
@@ -26,7 +26,7 @@
   void askIfNewer(const peer_frame &Frame, frame_channel &Channel);
 
   peer_words &Words;
-  instant AskedAt; ///< when a newer configuration was asked for last
+  instant BehindSince; ///< when a newer configuration was first heard of
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -145,6 +145,7 @@
   Out.load = toWire(Answer.Load);
   Out.wait_us = Answer.Wait.count();
   Out.reason = Answer.Reason;
+  Out.ran_us = Answer.Ran.count();
   return Out;
 }
 
@@ -161,6 +162,7 @@
   Answer.Load = fromWire(In.load);
   Answer.Wait = microseconds(In.wait_us);
   Answer.Reason = std::move(In.reason);
+  Answer.Ran = microseconds(In.ran_us);
   return Answer;
 }
 
--- a/src/libchivebeam/routing/expected_end_picker.cpp
+++ b/src/libchivebeam/routing/expected_end_picker.cpp
@@ -9,7 +9,13 @@
 
 /// Time of a call before any was seen.
 constexpr double DefaultCallMicros = 50'000;
+/// Weight of the newest call in a server's slowness, and in the usual time of a
+/// route over all servers.
 constexpr double NewestWeight = 0.1;
+constexpr double UsualWeight = 0.02;
+constexpr double MaxSlowness = 20;
+/// Routes come and go; beyond so many, all are learned anew.
+constexpr std::size_t MaxRoutes = 4'096;
 /// What a home node said of its load counts for half after this time.
 constexpr double LoadHalfLifeMicros = 300'000;
 /// A load report older than this says nothing.
@@ -19,10 +25,14 @@
 /// Cost of a busy server beside an idle one, as a part of a call's time: calls
 /// spread before a queue forms.
 constexpr double BusyPart = 0.25;
-/// Leaving the failure domain costs this part of a call's time, and at least
-/// the round trip.
-constexpr double RemotePart = 0.5;
+/// The round trip to another failure domain.
 constexpr double RemoteMicros = 4'000;
+/// A call stays in its failure domain while the mean of its expected time is
+/// below this part of the time until its goal: half of the calls take longer
+/// than the mean, a few much longer.
+constexpr double GoalPart = 0.7;
+/// Bodies beyond this size count as large.
+constexpr std::size_t LargeBody = 16 << 10;
 /// A server that failed every recent call costs so many times as much.
 constexpr double FailureFactor = 12.0;
 /// Cost of a server whose home node could not be reached, or runs nothing.
@@ -48,18 +58,24 @@
   return Server;
 }
 
-double expected_end_picker::timeOf(const service_name &Service,
+double expected_end_picker::usualMicros(const route_name &Route) const {
+  auto Usual = UsualMicros.find(Route);
+  return Usual == UsualMicros.end() ? DefaultCallMicros : Usual->second;
+}
+
+double expected_end_picker::timeOf(const route_name &Route,
                                    const endpoint &Endpoint,
                                    const server &Server, instant Now) const {
-  auto Typical = TypicalMicros.find(Service);
-  double Micros =
-      Typical == TypicalMicros.end() ? DefaultCallMicros : Typical->second;
+  double Micros = usualMicros(Route) * Server.Slowness;
+  if (Now < Endpoint.ReadySince)
+    Micros *= ColdFactor;
+  double MeanMicros = Micros;
   double Limit = std::max(Endpoint.Slots, 1U);
   double Others = 0;
   if (Now < Server.ReportedAt + LoadLifetime) {
     const home_load &Load = Server.Load;
     if (Load.ServiceTime.count() > 0)
-      Micros = static_cast<double>(Load.ServiceTime.count());
+      MeanMicros = static_cast<double>(Load.ServiceTime.count());
     if (Load.Limit > 0)
       Limit = Load.Limit;
     double Age = static_cast<double>((Now - Server.ReportedAt).count());
@@ -67,20 +83,18 @@
     Others = std::max(0.0, Told - Server.OpenAtReport) *
              std::exp2(-Age / LoadHalfLifeMicros);
   }
-  if (Now < Endpoint.ReadySince)
-    Micros *= ColdFactor;
   double Present = Others + Server.Open;
   double Queued = std::max(0.0, Present + 1 - Limit);
   double Busy = std::min(1.0, Present / Limit) * BusyPart;
-  return Micros * (1 + Busy + Queued / Limit);
+  return Micros * (1 + Busy) + MeanMicros * Queued / Limit;
 }
 
-double expected_end_picker::costOf(const service_name &Service,
+double expected_end_picker::costOf(const route_name &Route,
                                    const endpoint &Endpoint, instant Now) {
   server &Server = serverOf(Endpoint);
-  double Cost = timeOf(Service, Endpoint, Server, Now);
+  double Cost = timeOf(Route, Endpoint, Server, Now);
   if (Endpoint.Domain != Domain)
-    Cost += std::max(RemoteMicros, Cost * RemotePart);
+    Cost += RemoteMicros;
   Cost *= 1 + Server.Failures.value(Now) * FailureFactor;
   bool NoLimit = Server.Load.Limit == 0 && Now < Server.ReportedAt + AvoidTime;
   if (Now < Server.AvoidUntil || NoLimit)
@@ -88,13 +102,14 @@
   return Cost;
 }
 
-void expected_end_picker::consider(const service_name &Service,
-                                   const std::vector<endpoint> &Endpoints,
-                                   const std::set<node_id> &Excluded,
-                                   instant Now, candidate &Best) {
+expected_end_picker::candidate
+expected_end_picker::cheapest(const route_name &Route,
+                              const std::vector<endpoint> &Endpoints,
+                              const std::set<node_id> &Excluded, instant Now) {
+  candidate Best;
   std::size_t Count = Endpoints.size();
   if (Count == 0)
-    return;
+    return Best;
   std::size_t Draws = Count <= CompareAllUpTo ? Count : DrawsPerSide;
   std::size_t Start = Random.below(Count);
   for (std::size_t Step = 0, Drawn = 0; Step < Count && Drawn < Draws; ++Step) {
@@ -102,29 +117,42 @@
     if (Excluded.contains(Endpoint.Node))
       continue;
     ++Drawn;
-    double Cost = costOf(Service, Endpoint, Now);
+    double Cost = costOf(Route, Endpoint, Now);
     if (!Best.Endpoint || Cost < Best.Cost)
       Best = {&Endpoint, Cost};
     if (Draws < Count)
       Start = Random.below(Count);
   }
+  return Best;
 }
 
-const endpoint *expected_end_picker::pick(const service_name &Service,
+const endpoint *expected_end_picker::pick(const service_name &,
                                           const endpoint_group &Group,
                                           const std::set<node_id> &Excluded,
                                           instant Now) {
-  candidate Best;
-  consider(Service, Group.Local, Excluded, Now, Best);
-  consider(Service, Group.Remote, Excluded, Now, Best);
-  return Best.Endpoint;
+  return pickFor(Group, Excluded, call_needs(), Now);
+}
+
+const endpoint *expected_end_picker::pickFor(const endpoint_group &Group,
+                                             const std::set<node_id> &Excluded,
+                                             const call_needs &Needs,
+                                             instant Now) {
+  candidate Near = cheapest(Needs.Route, Group.Local, Excluded, Now);
+  microseconds Left = Needs.Bytes > LargeBody ? Needs.TimeLeft : Needs.GoalLeft;
+  if (Near.Endpoint &&
+      Near.Cost <= static_cast<double>(Left.count()) * GoalPart)
+    return Near.Endpoint;
+  candidate Far = cheapest(Needs.Route, Group.Remote, Excluded, Now);
+  if (!Far.Endpoint || (Near.Endpoint && Near.Cost <= Far.Cost))
+    return Near.Endpoint;
+  return Far.Endpoint;
 }
 
 void expected_end_picker::callStarted(const endpoint &Endpoint, instant) {
   ++serverOf(Endpoint).Open;
 }
 
-void expected_end_picker::callEnded(const service_name &Service,
+void expected_end_picker::callEnded(const service_name &,
                                     const endpoint &Endpoint,
                                     const call_observation &Seen, instant Now) {
   server &Server = serverOf(Endpoint);
@@ -139,11 +167,20 @@
   if (Seen.Verdict == call_verdict::served ||
       Seen.Verdict == call_verdict::failed)
     Server.Failures.record(Seen.Verdict == call_verdict::failed, Now);
-  if (Seen.Verdict != call_verdict::served || !Seen.Load)
-    return;
-  double &Mean = TypicalMicros[Service];
-  auto Sample = static_cast<double>(Seen.Load->ServiceTime.count());
-  Mean = Mean == 0 ? Sample : Mean + (Sample - Mean) * NewestWeight;
+}
+
+void expected_end_picker::ran(const route_name &Route, const endpoint &Endpoint,
+                              microseconds Duration) {
+  auto Sample = static_cast<double>(Duration.count());
+  if (UsualMicros.size() >= MaxRoutes && !UsualMicros.contains(Route))
+    UsualMicros.clear();
+  double &Usual = UsualMicros[Route];
+  server &Server = serverOf(Endpoint);
+  if (Usual > 0) {
+    double Ratio = std::min(Sample / Usual, MaxSlowness);
+    Server.Slowness += (Ratio - Server.Slowness) * NewestWeight;
+  }
+  Usual = Usual == 0 ? Sample : Usual + (Sample - Usual) * UsualWeight;
 }
 
 void expected_end_picker::forgetAbsent(const fleet_view &View) {
@@ -158,13 +195,6 @@
   });
 }
 
-microseconds expected_end_picker::expectedTime(const service_name &Service,
-                                               const endpoint &Endpoint,
-                                               instant Now) {
-  return microseconds(static_cast<std::int64_t>(
-      timeOf(Service, Endpoint, serverOf(Endpoint), Now)));
-}
-
 const home_load *expected_end_picker::recentLoad(const endpoint &Endpoint,
                                                  instant Now) const {
   auto Found = Servers.find(Endpoint.Node);
--- a/src/libchivebeam/routing/expected_end_picker.h
+++ b/src/libchivebeam/routing/expected_end_picker.h
@@ -8,11 +8,20 @@
 
 namespace chivebeam {
 
+/// What a call needs of the backend server that runs it. A plain value.
+struct call_needs {
+  route_name Route;
+  microseconds GoalLeft = microseconds::max(); ///< until its goal
+  microseconds TimeLeft = microseconds::max(); ///< until its deadline
+  std::size_t Bytes = 0;                       ///< of its body
+};
+
 /// Chooses the backend server that is expected to answer first, from the load
 /// that home nodes write on their answers and this node's own open calls. In a
 /// small group all are compared, in a large one a few random ones. The local
-/// failure domain is left only for a clearly earlier answer, since bytes
-/// between failure domains are dear. Servers that lately failed calls or could
+/// failure domain is left only when it would miss the call's goal, since bytes
+/// between failure domains are dear; a large body leaves it only when it would
+/// miss the deadline. Servers that lately failed calls or could
 /// not be reached count as later; if all do, all are used. Not thread safe.
 class expected_end_picker final : public picking_policy {
 public:
@@ -21,15 +30,20 @@
 
   const endpoint *pick(const service_name &Service, const endpoint_group &Group,
                        const std::set<node_id> &Excluded, instant Now) override;
+  /// As pick, for a call with known needs.
+  const endpoint *pickFor(const endpoint_group &Group,
+                          const std::set<node_id> &Excluded,
+                          const call_needs &Needs, instant Now);
   void callStarted(const endpoint &Endpoint, instant Now) override;
   void callEnded(const service_name &Service, const endpoint &Endpoint,
                  const call_observation &Seen, instant Now) override;
   void connected(const failure_domain &, microseconds) override {}
   void forgetAbsent(const fleet_view &View) override;
 
-  /// Returns how long a call that is sent now is expected to take.
-  microseconds expectedTime(const service_name &Service,
-                            const endpoint &Endpoint, instant Now);
+  /// Learns from the time that a call of the route ran there. Call before
+  /// callEnded.
+  void ran(const route_name &Route, const endpoint &Endpoint,
+           microseconds Duration);
   /// Returns the load last heard of, if it is recent.
   const home_load *recentLoad(const endpoint &Endpoint, instant Now) const;
 
@@ -40,6 +54,7 @@
     home_load Load;
     unsigned OpenAtReport = 0;
     instant ReportedAt;
+    double Slowness = 1; ///< time of a call beside the usual on its route
     recent_share Failures{FailureHalfLife};
     instant AvoidUntil; ///< its home node could not be reached
   };
@@ -49,21 +64,21 @@
   };
 
   server &serverOf(const endpoint &Endpoint);
-  double timeOf(const service_name &Service, const endpoint &Endpoint,
+  /// Usual time of a call that doesn't wait.
+  double usualMicros(const route_name &Route) const;
+  double timeOf(const route_name &Route, const endpoint &Endpoint,
                 const server &Server, instant Now) const;
-  double costOf(const service_name &Service, const endpoint &Endpoint,
-                instant Now);
-  void consider(const service_name &Service,
-                const std::vector<endpoint> &Endpoints,
-                const std::set<node_id> &Excluded, instant Now,
-                candidate &Best);
+  double costOf(const route_name &Route, const endpoint &Endpoint, instant Now);
+  candidate cheapest(const route_name &Route,
+                     const std::vector<endpoint> &Endpoints,
+                     const std::set<node_id> &Excluded, instant Now);
 
   static constexpr microseconds FailureHalfLife{2'000'000};
 
   failure_domain Domain;
   random_source Random;
   std::unordered_map<node_id, server> Servers;
-  std::unordered_map<service_name, double> TypicalMicros;
+  std::unordered_map<route_name, double> UsualMicros;
 };
 
 } // namespace chivebeam
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -11,8 +11,8 @@
 /// A call is hopeless when less than this part of its usual time is left, in
 /// percent: half of the calls are faster than the mean.
 constexpr int HopelessPercent = 60;
-/// After a refusal of its own, the backend server gets fewer calls for so long.
-constexpr milliseconds FullTime{500};
+/// Part of the slots that outside callers get however many calls are nested.
+constexpr double LeastPartForOthers = 0.1;
 /// Memory for queued requests is bounded by this many calls for each slot.
 constexpr std::size_t MaxWaitingPerSlot = 32;
 
@@ -24,16 +24,11 @@
 
 } // namespace
 
-unsigned slot_queue::limit(instant Now) const {
-  unsigned Less = Now < FullUntil ? Withheld : 0;
-  return Slots > Less ? Slots - Less : std::min(Slots, 1U);
-}
-
-slot_change slot_queue::setSlots(unsigned NewSlots, instant Now) {
+slot_change slot_queue::setSlots(unsigned NewSlots) {
   slot_change Change;
   Slots = NewSlots;
   if (Slots > 0) {
-    startWaiting(Now, Change);
+    startWaiting(Change);
     return Change;
   }
   for (const slot_request &Request : Waiting)
@@ -51,17 +46,23 @@
   return Left.Goal < Right.Goal;
 }
 
+double slot_queue::slotsForOthers(instant Now) const {
+  double Nested = NestedWork.perSecond(Now) / 1e6;
+  return std::max(Slots - Nested, Slots * LeastPartForOthers);
+}
+
 microseconds slot_queue::waitOf(const slot_request &Request,
                                 instant Now) const {
-  unsigned Limit = limit(Now);
-  if (Running < Limit && Waiting.empty())
+  if (Running < Slots && Waiting.empty())
     return microseconds(0);
   // With all slots busy, one becomes free each time divided by slots.
-  microseconds Work = Times.overall();
+  auto Work = static_cast<double>(Times.overall().count());
   for (const slot_request &Other : Waiting)
     if (!goesBefore(Request, Other))
-      Work += Times.expected(Other.Route);
-  return Work / std::max(Limit, 1U);
+      Work += static_cast<double>(Times.expected(Other.Route).count());
+  // Nested calls that are still to come will go before an outside call.
+  double Servers = Request.Nested ? Slots : slotsForOthers(Now);
+  return microseconds(static_cast<std::int64_t>(Work / std::max(Servers, 0.1)));
 }
 
 bool slot_queue::isHopeless(const slot_request &Request, instant Now) const {
@@ -83,14 +84,12 @@
 }
 
 slot_answer slot_queue::arrive(const slot_request &Request, instant Now) {
-  unsigned Limit = limit(Now);
-  if (Limit > 0 && Running < Limit && Waiting.empty() &&
-      !isHopeless(Request, Now)) {
+  if (Running < Slots && Waiting.empty() && !isHopeless(Request, Now)) {
     ++Running;
     noteRefusal(Request, false, Now);
     return slot_answer::run;
   }
-  bool Fits = Limit > 0 && fits(Request, Now);
+  bool Fits = Slots > 0 && fits(Request, Now);
   noteRefusal(Request, !Fits, Now);
   if (!Fits)
     return slot_answer::refuse;
@@ -104,24 +103,21 @@
     Refusals.record(Refused, Now);
 }
 
-slot_change slot_queue::release(const route_name &Route, microseconds Duration,
-                                instant Now) {
-  Times.record(Route, Duration);
+slot_change slot_queue::release(const slot_request &Request,
+                                microseconds Duration, instant Now) {
+  Times.record(Request.Route, Duration);
+  if (Request.Nested)
+    NestedWork.add(static_cast<double>(Duration.count()), Now);
   return releaseUnused(Now);
 }
 
 slot_change slot_queue::releaseUnused(instant Now) {
   Running -= Running > 0 ? 1 : 0;
   slot_change Change = dropHopeless(Now);
-  startWaiting(Now, Change);
+  startWaiting(Change);
   return Change;
 }
 
-void slot_queue::serverWasFull(instant Now) {
-  Withheld = Now < FullUntil ? std::min(Withheld + 1, Slots) : 1;
-  FullUntil = Now + FullTime;
-}
-
 void slot_queue::abandon(call_number Call) { erase(Waiting, Call); }
 
 slot_change slot_queue::dropHopeless(instant Now) {
@@ -136,8 +132,8 @@
   return Change;
 }
 
-void slot_queue::startWaiting(instant Now, slot_change &Change) {
-  while (!Waiting.empty() && Running < limit(Now)) {
+void slot_queue::startWaiting(slot_change &Change) {
+  while (!Waiting.empty() && Running < Slots) {
     auto First = std::min_element(
         Waiting.begin(), Waiting.end(),
         [this](const slot_request &Left, const slot_request &Right) {
@@ -160,7 +156,7 @@
   home_load Load;
   Load.Running = Running;
   Load.Waiting = static_cast<unsigned>(Waiting.size());
-  Load.Limit = limit(Now);
+  Load.Limit = Slots;
   Load.ServiceTime = Times.overall();
   Load.RefusedPermille = static_cast<unsigned>(Refusals.value(Now) * 1'000);
   return Load;
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -4,6 +4,7 @@
 
 #include "routing/call_number.h"
 #include "routing/home_load.h"
+#include "routing/recent_rate.h"
 #include "routing/recent_share.h"
 #include "routing/service_times.h"
 
@@ -40,20 +41,17 @@
 class slot_queue {
 public:
   /// Changes the slots; with none, every waiting call is refused.
-  slot_change setSlots(unsigned NewSlots, instant Now);
-  unsigned limit(instant Now) const;
+  slot_change setSlots(unsigned NewSlots);
+  unsigned limit() const { return Slots; }
   unsigned running() const { return Running; }
   std::size_t waiting() const { return Waiting.size(); }
 
   slot_answer arrive(const slot_request &Request, instant Now);
   /// Frees the slot of a call that ran for Duration.
-  slot_change release(const route_name &Route, microseconds Duration,
+  slot_change release(const slot_request &Request, microseconds Duration,
                       instant Now);
   /// Frees the slot of a call that was never sent or was broken off.
   slot_change releaseUnused(instant Now);
-  /// The backend server refused a call although a slot was free for it: fewer
-  /// calls are sent to it for a while.
-  void serverWasFull(instant Now);
   /// Removes a waiting call whose caller went away.
   void abandon(call_number Call);
   /// Refuses waiting calls that can't be served in time any more.
@@ -70,22 +68,23 @@
   void forgetTimes() { Times.reset(); }
 
 private:
+  /// Slots that nested calls leave to the others.
+  double slotsForOthers(instant Now) const;
   bool goesBefore(const slot_request &Left, const slot_request &Right) const;
   microseconds waitOf(const slot_request &Request, instant Now) const;
   bool isHopeless(const slot_request &Request, instant Now) const;
   bool fits(const slot_request &Request, instant Now) const;
-  void startWaiting(instant Now, slot_change &Change);
+  void startWaiting(slot_change &Change);
   void noteRefusal(const slot_request &Request, bool Refused, instant Now);
 
   unsigned Slots = 0;
   unsigned Running = 0;
   std::vector<slot_request> Waiting;
   service_times Times;
-  instant FullUntil; ///< one call fewer is sent until then
-  unsigned Withheld = 0;
-  recent_share Refusals{RefusalHalfLife};
+  recent_rate NestedWork{LoadHalfLife};
+  recent_share Refusals{LoadHalfLife};
 
-  static constexpr microseconds RefusalHalfLife{500'000};
+  static constexpr microseconds LoadHalfLife{500'000};
 };
 
 } // namespace chivebeam
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -177,6 +177,7 @@
   4: home_load load
   5: i64 wait_us
   6: string reason
+  7: i64 ran_us
 }
 
 struct peer_frame {
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -3511,6 +3511,10 @@
 void call_answer::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void call_answer::__set_ran_us(const int64_t val) {
+  this->ran_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const call_answer& obj)
 {
   obj.printTo(out);
@@ -3599,6 +3603,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ran_us);
+          this->__isset.ran_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3648,6 +3660,10 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ran_us", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->ran_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3661,6 +3677,7 @@
   swap(a.load, b.load);
   swap(a.wait_us, b.wait_us);
   swap(a.reason, b.reason);
+  swap(a.ran_us, b.ran_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -3671,6 +3688,7 @@
   load = other80.load;
   wait_us = other80.wait_us;
   reason = other80.reason;
+  ran_us = other80.ran_us;
   __isset = other80.__isset;
 }
 call_answer& call_answer::operator=(const call_answer& other81) {
@@ -3680,6 +3698,7 @@
   load = other81.load;
   wait_us = other81.wait_us;
   reason = other81.reason;
+  ran_us = other81.ran_us;
   __isset = other81.__isset;
   return *this;
 }
@@ -3692,6 +3711,7 @@
   out << ", " << "load=" << to_string(load);
   out << ", " << "wait_us=" << to_string(wait_us);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "ran_us=" << to_string(ran_us);
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1410,13 +1410,14 @@
 std::ostream& operator<<(std::ostream& out, const call_request& obj);
 
 typedef struct _call_answer__isset {
-  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false) {}
+  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false), ran_us(false) {}
   bool outcome :1;
   bool status :1;
   bool fields :1;
   bool load :1;
   bool wait_us :1;
   bool reason :1;
+  bool ran_us :1;
 } _call_answer__isset;
 
 class call_answer : public virtual ::apache::thrift::TBase {
@@ -1428,7 +1429,8 @@
               : outcome(0),
                 status(0),
                 wait_us(0),
-                reason() {
+                reason(),
+                ran_us(0) {
   }
 
   virtual ~call_answer() noexcept;
@@ -1438,6 +1440,7 @@
   home_load load;
   int64_t wait_us;
   std::string reason;
+  int64_t ran_us;
 
   _call_answer__isset __isset;
 
@@ -1453,6 +1456,8 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_ran_us(const int64_t val);
+
   bool operator == (const call_answer & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -1467,6 +1472,8 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(ran_us == rhs.ran_us))
+      return false;
     return true;
   }
   bool operator != (const call_answer &rhs) const {
