--- a/src/chivebeam/mesh/mesh_records.cpp
+++ b/src/chivebeam/mesh/mesh_records.cpp
@@ -164,6 +164,7 @@
   service_move Move;
   Move.Order = static_cast<std::uint64_t>(Reader.count("order"));
   Move.Rule.Id = move_id(Reader.text("id"));
+  Move.Rule.Brief = true; // orders of operators go by seconds
   Move.Rule.Service = service_name(Reader.text("service"));
   Move.Rule.From = version_name(Reader.text("from"));
   Move.Rule.To = version_name(Reader.text("to"));
--- a/src/libchivebeam/config/rule_set.cpp
+++ b/src/libchivebeam/config/rule_set.cpp
@@ -68,6 +68,7 @@
   Rule.To = version_name(Reader.text("to"));
   Rule.Start = Reader.time("start");
   Rule.By = Reader.time("by");
+  Rule.Brief = Reader.flagOr("brief", false);
   if (Rule.By <= Rule.Start && Rule.By != instant())
     Reader.fail("by", "is not after \"start\"", "set a later time");
   if (!Rule.From.empty() && Rule.From == Rule.To)
--- a/src/libchivebeam/moves/move_pace.cpp
+++ b/src/libchivebeam/moves/move_pace.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Moves with less time go by seconds; see docs/design/moves.md.
-constexpr microseconds ShortMove = seconds(60);
-
 move_pace usualPace() {
   move_pace Pace;
   Pace.Ladder = {{200, 1}, {1'000, 1}, {2'500, 1}, {5'000, 1}, {FullShare, 2}};
@@ -30,7 +27,7 @@
 
 /// Most of the time passes at small shares: a version that fails only under
 /// load then gets under a tenth of the service's calls before it is noticed.
-move_pace shortPace() {
+move_pace briefPace() {
   move_pace Pace;
   Pace.Ladder = {{1'000, 2}, {2'500, 1}, {FullShare, 2}};
   Pace.FirstWeight = 2;
@@ -56,8 +53,8 @@
 
 const move_pace &paceOf(const move_rule &Rule) {
   static const move_pace Usual = usualPace();
-  static const move_pace Short = shortPace();
-  return Rule.By - Rule.Start < ShortMove ? Short : Usual;
+  static const move_pace Brief = briefPace();
+  return Rule.Brief ? Brief : Usual;
 }
 
 } // namespace chivebeam
--- a/src/libchivebeam/moves/move_pace.h
+++ b/src/libchivebeam/moves/move_pace.h
@@ -12,9 +12,8 @@
   int Weight = 1;     ///< part of the move's time, beside the other rungs
 };
 
-/// The time scale of a move. It follows from the time between its start and
-/// the set time alone, so that a replay decides at the same pace. A plain
-/// value.
+/// The time scale of a move. It follows from the rule alone, so that a replay
+/// decides at the same pace. A plain value.
 struct move_pace {
   /// Rungs above the first step, whose share depends on traffic.
   std::vector<ladder_rung> Ladder;
@@ -38,7 +37,7 @@
   microseconds TrafficStretch{0}; ///< over which traffic is measured
 };
 
-/// Returns the pace of a move with so much time.
+/// Returns the pace that the rule asks for.
 const move_pace &paceOf(const move_rule &Rule);
 
 } // namespace chivebeam
--- a/src/libchivebeam/sessions/move_json.cpp
+++ b/src/libchivebeam/sessions/move_json.cpp
@@ -118,6 +118,8 @@
   Out["to"] = Rule.To.str();
   Out["start"] = formatTime(Rule.Start);
   Out["by"] = formatTime(Rule.By);
+  if (Rule.Brief)
+    Out["brief"] = true;
   return Out;
 }
 
--- /dev/null
+++ b/tests/routing/attempt_policy_test.cpp
@@ -0,0 +1,148 @@
+// What follows an attempt, and that "not run" is only said when it is true.
+#include <boost/test/unit_test.hpp>
+
+#include "routing/arrival_budget.h"
+#include "routing/attempt_policy.h"
+#include "routing/weighted_splitter.h"
+
+using namespace chivebeam;
+
+namespace {
+
+const instant Start = instant(seconds(1'000));
+
+constexpr attempt_outcome Outcomes[] = {
+    attempt_outcome::answered, attempt_outcome::server_failed,
+    attempt_outcome::not_sent, attempt_outcome::server_refused,
+    attempt_outcome::lost};
+
+/// Calls Check with every outcome in every situation.
+template <typename Visitor> void forEachCase(Visitor Check) {
+  for (attempt_outcome Outcome : Outcomes)
+    for (unsigned Bits = 0; Bits < 64; ++Bits) {
+      attempt_history History;
+      History.Idempotent = (Bits & 1) != 0;
+      History.MayHaveRun = (Bits & 2) != 0;
+      History.OthersLeft = (Bits & 4) != 0;
+      History.TimeLeft = (Bits & 8) != 0;
+      History.Arrivals = (Bits & 16) != 0 ? 1 : 0;
+      History.Arrivals += isArrival(Outcome) ? 1 : 0;
+      History.MaxArrivals = 2;
+      bool Budget = (Bits & 32) != 0;
+      // A call that is not idempotent never goes on after it may have run.
+      if (!History.Idempotent && History.MayHaveRun)
+        continue;
+      Check(Outcome, History, Budget,
+            decideNext(Outcome, History, [&] { return Budget; }));
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(not_run_is_only_said_of_calls_that_cannot_have_run) {
+  forEachCase([](attempt_outcome Outcome, const attempt_history &History, bool,
+                 next_step Step) {
+    if (Step != next_step::refuse)
+      return;
+    BOOST_TEST(!History.MayHaveRun);
+    BOOST_TEST((Outcome == attempt_outcome::not_sent ||
+                Outcome == attempt_outcome::server_refused));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_may_have_run_is_only_repeated_if_idempotent) {
+  forEachCase([](attempt_outcome Outcome, const attempt_history &History, bool,
+                 next_step Step) {
+    bool MayHaveRun = Outcome == attempt_outcome::lost ||
+                      Outcome == attempt_outcome::server_failed;
+    if (Step == next_step::another && MayHaveRun)
+      BOOST_TEST(History.Idempotent);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(
+    every_answer_of_a_backend_server_is_delivered_or_bettered) {
+  forEachCase([](attempt_outcome Outcome, const attempt_history &, bool,
+                 next_step Step) {
+    if (Outcome == attempt_outcome::answered)
+      BOOST_TEST((Step == next_step::deliver));
+    if (Outcome == attempt_outcome::server_failed)
+      BOOST_TEST((Step == next_step::deliver || Step == next_step::another));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_further_arrival_draws_on_the_budget_a_first_does_not) {
+  forEachCase([](attempt_outcome, const attempt_history &History, bool Budget,
+                 next_step Step) {
+    if (Step != next_step::another)
+      return;
+    BOOST_TEST(History.OthersLeft);
+    BOOST_TEST(History.TimeLeft);
+    BOOST_TEST(History.Arrivals < History.MaxArrivals);
+    BOOST_TEST((Budget || History.Arrivals == 0));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(repeats_stay_a_part_of_the_calls_over_any_window) {
+  arrival_limits Limits;
+  Limits.Slack = 20;
+  Limits.Nodes = 2;
+  arrival_budget Budget(Limits);
+  service_name Service("kassa");
+  std::vector<instant> Taken;
+  for (int Call = 0; Call < 20'000; ++Call) {
+    instant Now = Start + milliseconds(2) * Call;
+    Budget.callStarted(Service, Now);
+    if (Budget.takeRepeat(Service, Now))
+      Taken.push_back(Now);
+  }
+  // 5,000 calls a window, of which 20% and half of the slack.
+  std::size_t Most = 0;
+  for (std::size_t First = 0, Last = 0; Last < Taken.size(); ++Last) {
+    while (Taken[Last] - Taken[First] >= Limits.Window)
+      ++First;
+    Most = std::max(Most, Last - First + 1);
+  }
+  BOOST_TEST(Most <= 1'010u);
+  BOOST_TEST(Most >= 500u);
+}
+
+BOOST_AUTO_TEST_CASE(a_budget_forgets_a_window_that_has_passed) {
+  arrival_limits Limits;
+  Limits.Ratio = 0;
+  Limits.Slack = 10;
+  arrival_budget Budget(Limits);
+  service_name Service("kassa");
+  int First = 0;
+  int Second = 0;
+  while (Budget.takeRepeat(Service, Start))
+    ++First;
+  while (Budget.takeRepeat(Service, Start + Limits.Window * 2))
+    ++Second;
+  BOOST_TEST(First == 7);
+  BOOST_TEST(Second == First);
+}
+
+BOOST_AUTO_TEST_CASE(a_split_gives_each_service_its_weight_exactly) {
+  route_rule Route;
+  Route.Name = route_name("r");
+  Route.Split = {{service_name("a"), 70},
+                 {service_name("b"), 20},
+                 {service_name("c"), 10}};
+  weighted_splitter Splitter(7);
+  std::map<service_name, int> Counts;
+  for (int Call = 0; Call < 1'000; ++Call)
+    ++Counts[Splitter.choose(Route)];
+  BOOST_TEST(std::abs(Counts[service_name("a")] - 700) <= 2);
+  BOOST_TEST(std::abs(Counts[service_name("b")] - 200) <= 2);
+  BOOST_TEST(std::abs(Counts[service_name("c")] - 100) <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_service_without_weight_gets_nothing) {
+  route_rule Route;
+  Route.Name = route_name("r");
+  Route.Split = {{service_name("a"), 0}, {service_name("b"), 5}};
+  weighted_splitter Splitter(7);
+  for (int Call = 0; Call < 100; ++Call)
+    BOOST_TEST(Splitter.choose(Route).str() == "b");
+}
--- /dev/null
+++ b/tests/routing/expected_end_picker_test.cpp
@@ -0,0 +1,153 @@
+// Which backend server a call goes to.
+#include <boost/test/unit_test.hpp>
+
+#include "routing/expected_end_picker.h"
+#include "routing/mesh_view.h"
+
+using namespace chivebeam;
+
+namespace {
+
+const instant Start = instant(seconds(1'000));
+const service_name Desk("desk");
+const route_name Route("read");
+
+endpoint at(std::string Node, std::string Domain) {
+  endpoint Endpoint;
+  Endpoint.Node = node_id(Node);
+  Endpoint.Domain = failure_domain(std::move(Domain));
+  Endpoint.Worker = worker_id("w-" + Node);
+  Endpoint.Slots = 6;
+  return Endpoint;
+}
+
+/// One server in the own failure domain, one in another.
+struct two_servers {
+  two_servers() {
+    Group.Local = {at("near", "a")};
+    Group.Remote = {at("far", "b")};
+    Needs.Route = Route;
+    Needs.GoalLeft = milliseconds(200);
+    Needs.TimeLeft = milliseconds(800);
+  }
+
+  std::string pick() {
+    const endpoint *Endpoint = Picker.pickFor(Group, {}, Needs, Start);
+    return Endpoint ? Endpoint->Node.str() : "";
+  }
+  void tell(const endpoint &Endpoint, unsigned Running, unsigned Waiting,
+            call_verdict Verdict = call_verdict::served) {
+    call_observation Seen;
+    Seen.Verdict = Verdict;
+    Seen.Load = home_load{Running, Waiting, 6, milliseconds(60), 0, 0};
+    Picker.ran(Route, Endpoint, milliseconds(60));
+    Picker.callEnded(Desk, Endpoint, Seen, Start);
+  }
+
+  expected_end_picker Picker{failure_domain("a"), 1};
+  endpoint_group Group;
+  call_needs Needs;
+};
+
+home_record home(std::string Node, std::string Version) {
+  home_record Record;
+  Record.Node = node_id(Node);
+  Record.Domain = failure_domain("a");
+  Record.Start = {worker_id("w-" + Node), 1};
+  Record.Worker = {Desk, version_name(std::move(Version)), 6,
+                   worker_state::ready, instant()};
+  return Record;
+}
+
+std::size_t countOf(const fleet_view &View, std::string Version) {
+  const endpoint_group *Group =
+      findGroup(View, Desk, version_name(std::move(Version)));
+  return Group ? Group->Local.size() + Group->Remote.size() : 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_call_stays_near_while_its_goal_can_be_met) {
+  two_servers Servers;
+  Servers.tell(Servers.Group.Local[0], 6, 2);
+  Servers.tell(Servers.Group.Remote[0], 0, 0);
+  BOOST_TEST(Servers.pick() == "near");
+}
+
+BOOST_AUTO_TEST_CASE(a_call_goes_far_when_its_goal_would_be_missed_near) {
+  two_servers Servers;
+  Servers.tell(Servers.Group.Local[0], 6, 20);
+  Servers.tell(Servers.Group.Remote[0], 1, 0);
+  BOOST_TEST(Servers.pick() == "far");
+}
+
+BOOST_AUTO_TEST_CASE(a_large_body_goes_far_only_for_its_deadline) {
+  two_servers Servers;
+  Servers.Needs.Bytes = 60'000;
+  Servers.tell(Servers.Group.Local[0], 6, 20);
+  Servers.tell(Servers.Group.Remote[0], 1, 0);
+  BOOST_TEST(Servers.pick() == "near");
+  Servers.tell(Servers.Group.Local[0], 6, 90);
+  BOOST_TEST(Servers.pick() == "far");
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_fails_is_avoided_and_used_if_all_do) {
+  two_servers Servers;
+  for (int Call = 0; Call < 20; ++Call)
+    Servers.tell(Servers.Group.Local[0], 1, 0, call_verdict::failed);
+  Servers.tell(Servers.Group.Remote[0], 1, 0);
+  BOOST_TEST(Servers.pick() == "far");
+  for (int Call = 0; Call < 20; ++Call)
+    Servers.tell(Servers.Group.Remote[0], 1, 0, call_verdict::failed);
+  BOOST_TEST(Servers.pick() != "");
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_cannot_be_reached_is_passed_over_for_a_while) {
+  two_servers Servers;
+  call_observation Seen;
+  Seen.Verdict = call_verdict::unreachable;
+  Servers.Picker.callEnded(Desk, Servers.Group.Local[0], Seen, Start);
+  BOOST_TEST(Servers.pick() == "far");
+  const endpoint *Later = Servers.Picker.pickFor(
+      Servers.Group, {}, Servers.Needs, Start + seconds(2));
+  BOOST_TEST(Later->Node.str() == "near");
+}
+
+BOOST_AUTO_TEST_CASE(calls_spread_over_the_servers_of_a_failure_domain) {
+  two_servers Servers;
+  Servers.Group.Local.push_back(at("near-2", "a"));
+  std::map<std::string, int> Counts;
+  for (int Call = 0; Call < 10; ++Call) {
+    const endpoint *Endpoint =
+        Servers.Picker.pickFor(Servers.Group, {}, Servers.Needs, Start);
+    ++Counts[Endpoint->Node.str()];
+    Servers.Picker.callStarted(*Endpoint, Start);
+  }
+  BOOST_TEST(Counts["near"] == 5);
+  BOOST_TEST(Counts["near-2"] == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_version_gets_calls_only_through_its_move) {
+  std::vector<home_record> Homes{home("n1", "1"), home("n2", "1"),
+                                 home("n3", "2")};
+  service_moves Moves;
+  service_move &Move = Moves[Desk];
+  Move.Rule.Service = Desk;
+  Move.Rule.From = version_name("1");
+  Move.Rule.To = version_name("2");
+  auto View = [&] {
+    return makeMeshView(nullptr, Homes, Moves, failure_domain("a"));
+  };
+  BOOST_TEST(countOf(*View(), "1") == 2u);
+  BOOST_TEST(countOf(*View(), "2") == 1u);
+  BOOST_TEST(View()->Splits.at(Desk).NewShare == 0u);
+  Move.Progress.Share = 500;
+  BOOST_TEST(View()->Splits.at(Desk).NewShare == 500u);
+  Move.Progress.Phase = move_phase::taken_back;
+  BOOST_TEST(View()->Splits.at(Desk).NewShare == 0u);
+  Move.Progress.Recorded = move_verdict::taken_back;
+  BOOST_TEST(countOf(*View(), "2") == 0u);
+  Move.Progress.Recorded = move_verdict::done;
+  BOOST_TEST(countOf(*View(), "1") == 0u);
+  BOOST_TEST(View()->Splits.at(Desk).NewShare == FullShare);
+}
--- /dev/null
+++ b/tests/routing/slot_queue_test.cpp
@@ -0,0 +1,119 @@
+// Who gets a slot of the backend server, who waits and who is refused.
+#include <boost/test/unit_test.hpp>
+
+#include "routing/slot_queue.h"
+
+using namespace chivebeam;
+
+namespace {
+
+const instant Start = instant(seconds(1'000));
+
+slot_request request(unsigned Number, milliseconds Goal = milliseconds(200),
+                     milliseconds Deadline = milliseconds(800)) {
+  slot_request Request;
+  Request.Call = call_number(Number);
+  Request.Route = route_name("r");
+  Request.Goal = Start + Goal;
+  Request.Deadline = Start + Deadline;
+  return Request;
+}
+
+/// A queue whose calls are known to take 50 ms, with all slots busy.
+slot_queue busyQueue(unsigned Slots) {
+  slot_queue Queue;
+  Queue.setSlots(Slots);
+  for (unsigned Number = 0; Number < 40; ++Number) {
+    slot_request Request = request(Number);
+    BOOST_REQUIRE(Queue.arrive(Request, Start) == slot_answer::run);
+    Queue.release(Request, milliseconds(50), Start);
+  }
+  for (unsigned Number = 100; Number < 100 + Slots; ++Number)
+    BOOST_REQUIRE(Queue.arrive(request(Number), Start) == slot_answer::run);
+  return Queue;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(never_more_calls_run_than_there_are_slots) {
+  slot_queue Queue = busyQueue(4);
+  BOOST_TEST(Queue.running() == 4u);
+  BOOST_TEST((Queue.arrive(request(1), Start) == slot_answer::wait));
+  BOOST_TEST(Queue.running() == 4u);
+  slot_change Change = Queue.releaseUnused(Start);
+  BOOST_REQUIRE(Change.Started.size() == 1u);
+  BOOST_TEST((Change.Started[0] == call_number(1)));
+  BOOST_TEST(Queue.running() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(nested_calls_go_first_then_urgency_then_the_goal) {
+  slot_queue Queue = busyQueue(4);
+  slot_request Late = request(1, milliseconds(200));
+  slot_request Early = request(2, milliseconds(150));
+  slot_request Urgent = request(3, milliseconds(200));
+  slot_request Nested = request(4, milliseconds(200));
+  Late.Urgency = Early.Urgency = 2;
+  Urgent.Urgency = 1;
+  Nested.Urgency = 2;
+  Nested.Nested = true;
+  for (const slot_request &Request : {Late, Early, Urgent, Nested})
+    BOOST_REQUIRE(Queue.arrive(Request, Start) == slot_answer::wait);
+  std::vector<std::uint64_t> Order;
+  for (int Count = 0; Count < 4; ++Count)
+    for (call_number Call : Queue.releaseUnused(Start).Started)
+      Order.push_back(Call.value());
+  BOOST_TEST(Order == (std::vector<std::uint64_t>{4, 3, 2, 1}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_call_without_time_is_refused_at_once) {
+  slot_queue Queue = busyQueue(4);
+  slot_request Request = request(1, milliseconds(5), milliseconds(20));
+  BOOST_TEST((Queue.arrive(Request, Start) == slot_answer::refuse));
+}
+
+BOOST_AUTO_TEST_CASE(a_queue_that_makes_calls_late_takes_few_of_them) {
+  slot_queue Queue = busyQueue(4);
+  unsigned Taken = 0;
+  for (unsigned Number = 0; Number < 100; ++Number)
+    Taken += Queue.arrive(request(Number), Start) == slot_answer::wait ? 1 : 0;
+  // 150 ms are left for waiting; a slot frees every 12.5 ms.
+  BOOST_TEST(Taken >= 8u);
+  BOOST_TEST(Taken <= 14u);
+}
+
+BOOST_AUTO_TEST_CASE(a_waiting_call_is_refused_as_soon_as_it_is_hopeless) {
+  slot_queue Queue = busyQueue(4);
+  BOOST_REQUIRE(Queue.arrive(request(1), Start) == slot_answer::wait);
+  slot_change Change = Queue.dropHopeless(Start + milliseconds(780));
+  BOOST_REQUIRE(Change.Refused.size() == 1u);
+  BOOST_TEST((Change.Refused[0] == call_number(1)));
+  BOOST_TEST(Queue.waiting() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(an_abandoned_call_is_never_started) {
+  slot_queue Queue = busyQueue(4);
+  BOOST_REQUIRE(Queue.arrive(request(1), Start) == slot_answer::wait);
+  Queue.abandon(call_number(1));
+  BOOST_TEST(Queue.releaseUnused(Start).Started.empty());
+}
+
+BOOST_AUTO_TEST_CASE(without_slots_every_waiting_call_is_handed_back) {
+  slot_queue Queue = busyQueue(4);
+  BOOST_REQUIRE(Queue.arrive(request(1), Start) == slot_answer::wait);
+  slot_change Change = Queue.setSlots(0);
+  BOOST_TEST(Change.Refused.size() == 1u);
+  BOOST_TEST((Queue.arrive(request(2), Start) == slot_answer::refuse));
+}
+
+BOOST_AUTO_TEST_CASE(nested_calls_to_come_are_part_of_the_expected_wait) {
+  slot_queue Queue = busyQueue(4);
+  microseconds Before = Queue.expectedWait(Start);
+  slot_request Nested = request(0);
+  Nested.Nested = true;
+  for (unsigned Number = 0; Number < 20; ++Number)
+    Queue.release(Nested, milliseconds(50), Start);
+  for (unsigned Number = 0; Number < 4; ++Number)
+    Queue.arrive(request(Number), Start);
+  BOOST_TEST(Queue.expectedWait(Start).count() > Before.count());
+}
