Refuse upstream when a service further down is the narrow one; don't ask homes without room

Cause: calls crossed failure domains only to be refused, and lookups of less urgent calls pushed urgent ones out of the narrow service.

--- a/src/chivebeam/mesh/call_dialect.h
+++ b/src/chivebeam/mesh/call_dialect.h
@@ -53,9 +53,9 @@
   /// that was not run may come back.
   virtual header_list fieldsOf(own_answer Answer, const request_id &Id,
                                microseconds Wait) const = 0;
-  /// A hint that a backend server made the call while it ran another one; may
-  /// be missing or forged.
-  virtual bool looksNested(const request_id &Id) const = 0;
+  /// Returns the call that a backend server ran when it made this one. A hint
+  /// that may be missing or forged.
+  virtual std::optional<request_id> parentOf(const request_id &Id) const = 0;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -15,6 +15,12 @@
 
 /// When no backend server is known, the next report of one may change that.
 constexpr milliseconds NobodyWait{300};
+/// A service counts as called by the backend server for so long.
+constexpr milliseconds ChildLifetime{3'000};
+/// Refused share downstream from which on a server's failure counts as caused
+/// by it.
+constexpr unsigned StarvedPermille = 100;
+constexpr unsigned LowestUrgency = ~0U;
 /// Wait times are spread by so much of themselves, in percent, so that callers
 /// who were refused together don't return together.
 constexpr int WaitSpreadPercent = 50;
@@ -109,7 +115,9 @@
   Call.Service = Services.choose(Route);
   Call.Idempotent = Route.Idempotent;
   Call.Urgency = Route.Urgency;
-  Call.Nested = Dialect.looksNested(Request.Id);
+  std::optional<request_id> Parent = Dialect.parentOf(Request.Id);
+  Call.Nested = Parent.has_value();
+  Call.Repeat = Parent && Home.runsRepeat(*Parent);
   milliseconds Longest =
       Route.Deadline.count() > 0 ? Route.Deadline : DefaultPatience;
   Call.Deadline =
@@ -130,6 +138,8 @@
         !Split->second.New.empty() && Entry.Version == Split->second.New;
   }
   Repeats.callStarted(Call.Service, Now);
+  if (Call.Repeat)
+    Repeats.noteRepeat(Call.Service, Now);
 }
 
 awaitable<entry_result> entry_router::run(entry_request Request,
@@ -147,21 +157,81 @@
   if (!Entry.Route)
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::no_route, {}};
-  prepare(Entry, std::move(Request), currentTime());
+  instant Now = currentTime();
+  prepare(Entry, std::move(Request), Now);
+  if (!admit(Entry, Now))
+    co_return refuseUnasked(Entry, "a service further down is overloaded");
   ++OpenCalls;
   entry_result Result = co_await attempts(Entry, Cancel);
   --OpenCalls;
   co_return Result;
 }
 
+bool entry_router::mayRepeat(const entry_call &Entry, attempt_outcome Outcome,
+                             instant Now) {
+  const mesh_call &Call = Entry.Call;
+  // A server that failed for want of what it calls fails again elsewhere.
+  const endpoint_group *Group =
+      findGroup(*Entry.View, Call.Service, Entry.Version);
+  bool Starved = Outcome == attempt_outcome::server_failed && Group &&
+                 worstUpTo(Picker.overload(*Group, Now).Downstream,
+                           LowestUrgency) > StarvedPermille;
+  return !Starved && Repeats.takeRepeat(Call.Service, Now);
+}
+
+bool entry_router::admit(const entry_call &Entry, instant Now) {
+  const mesh_call &Call = Entry.Call;
+  if (Call.Nested) {
+    Children[Call.Service] = Now;
+    return true;
+  }
+  const endpoint_group *Group =
+      findGroup(*Entry.View, Call.Service, Entry.Version);
+  return !Group ||
+         Roots.admit(Call.Route, Call.Urgency, Picker.overload(*Group, Now));
+}
+
+refused_shares entry_router::downstream(instant Now) const {
+  refused_shares Worst;
+  if (!State.view())
+    return Worst;
+  for (const auto &[Service, SeenAt] : Children) {
+    auto Versions = State.view()->Endpoints.find(Service);
+    if (Now >= SeenAt + ChildLifetime ||
+        Versions == State.view()->Endpoints.end())
+      continue;
+    for (const auto &[Version, Group] : Versions->second)
+      for (const refused_share &Share : Picker.overload(Group, Now).Own)
+        if (Share.Permille > shareOf(Worst, Share.Urgency)) {
+          std::erase_if(Worst, [&](const refused_share &Known) {
+            return Known.Urgency == Share.Urgency;
+          });
+          Worst.push_back(Share);
+        }
+  }
+  return Worst;
+}
+
+entry_result entry_router::refuseUnasked(entry_call &Entry,
+                                         std::string Reason) {
+  const mesh_call &Call = Entry.Call;
+  if (!Call.Nested && Entry.Attempts == 0)
+    ++Unasked[{Call.Service, Call.Urgency}];
+  Entry.Wait = std::max<microseconds>(Entry.Wait, NobodyWait);
+  mesh_answer Nobody = noAnswer(attempt_outcome::not_sent, std::move(Reason));
+  next_step Step = lastStep(Nobody.Outcome, Entry.History);
+  log(Entry, endpoint(), Nobody, Step, microseconds(0));
+  return finish(Entry, Step, std::move(Nobody));
+}
+
 const endpoint *entry_router::choose(entry_call &Entry, instant Now) {
   const service_name &Service = Entry.Call.Service;
   const endpoint_group *Group = findGroup(*Entry.View, Service, Entry.Version);
   if (!Group)
     return nullptr;
-  call_needs Needs{Entry.Call.Route, Entry.Call.Goal - Now,
-                   Entry.Call.Deadline - Now,
-                   Entry.Call.Body ? Entry.Call.Body->size() : 0};
+  call_needs Needs{
+      Entry.Call.Route, Entry.Call.Goal - Now, Entry.Call.Deadline - Now,
+      Entry.Call.Body ? Entry.Call.Body->size() : 0, Entry.Call.Nested};
   return Picker.pickFor(*Group, Entry.Tried, Needs, Now);
 }
 
@@ -182,14 +252,8 @@
   for (;;) {
     instant Started = currentTime();
     const endpoint *Chosen = choose(Entry, Started);
-    if (!Chosen) {
-      Entry.Wait = std::max<microseconds>(Entry.Wait, NobodyWait);
-      mesh_answer Nobody =
-          noAnswer(attempt_outcome::not_sent, "no backend server is known");
-      next_step Step = lastStep(Nobody.Outcome, Entry.History);
-      log(Entry, endpoint(), Nobody, Step, microseconds(0));
-      co_return finish(Entry, Step, std::move(Nobody));
-    }
+    if (!Chosen)
+      co_return refuseUnasked(Entry, "no backend server has room, or is known");
     endpoint Endpoint = *Chosen;
     Entry.Tried.insert(Endpoint.Node);
     ++Entry.Attempts;
@@ -200,13 +264,15 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     observe(Entry, Endpoint, Answer, Now - Started, Now);
-    if (isArrival(Answer.Outcome))
+    if (isArrival(Answer.Outcome)) {
       ++Entry.History.Arrivals;
+      Entry.Call.Repeat = true;
+    }
     Entry.View = State.view() ? State.view() : Entry.View;
     Entry.History.OthersLeft = hasOthers(Entry);
     Entry.History.TimeLeft = Now + MinAttemptTime < Entry.Call.Deadline;
     next_step Step = decideNext(Answer.Outcome, Entry.History, [&] {
-      return Repeats.takeRepeat(Entry.Call.Service, Now);
+      return mayRepeat(Entry, Answer.Outcome, Now);
     });
     if (Answer.Outcome == attempt_outcome::lost ||
         Answer.Outcome == attempt_outcome::server_failed)
@@ -232,6 +298,8 @@
   });
   mesh_call Call = Entry.Call;
   Call.Worker = Endpoint.Worker;
+  if (!Call.Nested)
+    Call.Unasked = std::exchange(Unasked[{Call.Service, Call.Urgency}], 0);
   auto Reply = [Slot](mesh_answer Answer) { Slot.set(std::move(Answer)); };
   Picker.callStarted(Endpoint, Now);
   Versions.callStarted(Call.Service, Entry.OnNewVersion);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -55,6 +55,9 @@
   /// Refuses calls from now on; those under way go on to their end.
   void close() { Closed = true; }
   std::size_t openCalls() const { return OpenCalls; }
+  /// Returns what is known of refusals at the services that the backend server
+  /// beside this node has called of late.
+  refused_shares downstream(instant Now) const;
 
 private:
   /// One call with what was decided about it.
@@ -77,8 +80,14 @@
   awaitable<entry_result> attempts(entry_call &Entry, cancel_signal Cancel);
   awaitable<mesh_answer> attempt(entry_call &Entry, endpoint Endpoint,
                                  cancel_signal Cancel);
+  /// Returns whether a call may reach one more backend server.
+  bool mayRepeat(const entry_call &Entry, attempt_outcome Outcome, instant Now);
+  /// Returns whether a call of an outside caller is let in.
+  bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
   bool hasOthers(const entry_call &Entry) const;
+  /// Ends a call that no home node is asked about (any more).
+  entry_result refuseUnasked(entry_call &Entry, std::string Reason);
   void observe(const entry_call &Entry, const endpoint &Endpoint,
                const mesh_answer &Answer, microseconds Took, instant Now);
   entry_result finish(entry_call &Entry, next_step Step, mesh_answer Answer);
@@ -98,6 +107,12 @@
   version_splitter Versions;
   expected_end_picker Picker;
   arrival_budget Repeats;
+  root_admission Roots;
+  /// Services that nested calls went to, with the time of the last one.
+  std::unordered_map<service_name, instant> Children;
+  /// Calls that were refused here without asking a home node, since the last
+  /// call of that service and urgency.
+  std::map<std::pair<service_name, unsigned>, unsigned> Unasked;
   /// Longest patience that callers of a route have shown: their first attempts.
   std::unordered_map<route_name, milliseconds> FullPatience;
   token_bucket PlainLines; ///< log lines of calls that went as they should
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -103,6 +103,7 @@
 home_load home_runner::load() const {
   instant Now = currentTime();
   home_load Load = Queue.load(Now);
+  Load.Downstream = Downstream;
   Load.FailedPermille = static_cast<unsigned>(Failures.value(Now) * 1'000);
   if (Now < UnreachableUntil)
     Load.Limit = 0;
@@ -116,6 +117,7 @@
     co_return refuse(*Job, "another backend server is here, or none");
   if (Now < UnreachableUntil)
     co_return refuse(*Job, "the backend server can't be reached");
+  Queue.noteUnasked(Call.Urgency, Call.Unasked, Now);
   slot_answer Answer = Queue.arrive(Job->Slot, Now);
   if (Answer == slot_answer::refuse)
     co_return refuse(*Job, "no slot would be free in time");
@@ -207,9 +209,12 @@
       std::chrono::duration_cast<milliseconds>(Call.Deadline - Now));
   // Work that must not be repeated is worth finishing without its caller.
   cancel_signal Cancel = Call.Idempotent ? Job->Cancel : cancel_signal();
+  if (Call.Repeat)
+    Repeats.insert(Call.Id);
   mesh_answer Answer = co_await Connection->exchange(
       Call, Fields, Dialect, Call.Deadline + LastWordTime, Cancel);
   instant Ended = currentTime();
+  Repeats.erase(Call.Id);
   keep(std::move(Connection));
   Answer.Ran = Ended - Now;
   noteEnd(*Job, Answer, Ended);
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "membership/worker_reports.h"
 #include "mesh/cancel_signal.h"
@@ -31,7 +32,11 @@
   /// off; one that is not is left to end by itself once it was sent.
   void run(mesh_call Call, const cancel_signal &Cancel, reply Reply);
 
+  /// True if a call that runs now was sent to a backend server before.
+  bool runsRepeat(const request_id &Id) const { return Repeats.contains(Id); }
   home_load load() const;
+  /// Sets what is known of the services that the backend server calls.
+  void setDownstream(refused_shares Shares) { Downstream = std::move(Shares); }
   std::size_t active() const { return Active; }
   /// Returns what this node has counted for its backend server so far.
   const evidence_by_route &evidence() const { return Evidence; }
@@ -71,6 +76,8 @@
       Idle; ///< used last at the end
   recent_share Failures{FailureHalfLife};
   evidence_by_route Evidence;
+  refused_shares Downstream;
+  std::unordered_set<request_id> Repeats; ///< of the calls that run now
   instant UnreachableUntil;
   std::uint64_t NextNumber = 0;
   std::uint64_t ConnectionsOpened = 0;
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -26,6 +26,8 @@
   instant Goal; ///< an answer until then is worth most
   unsigned Urgency = 0;
   bool Idempotent = false;
+  unsigned Unasked = 0; ///< calls like it that were refused without asking
+  bool Repeat = false;  ///< it, or the call it is made for, was sent before
   bool Nested = false; ///< a backend server makes it while it runs another call
 };
 
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -223,6 +223,7 @@
     for (const node_id &Node : State.directory().doubtful())
       Hub.ping(Node);
   }
+  Home.setDownstream(Router.downstream(Now));
   reportEvidence();
   Moves.tick(Now, Registrar.lease());
 }
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -56,6 +56,21 @@
   return Fields;
 }
 
+std::map<std::int32_t, std::int32_t> toWire(const refused_shares &Shares) {
+  std::map<std::int32_t, std::int32_t> Out;
+  for (const refused_share &Share : Shares)
+    Out[static_cast<std::int32_t>(Share.Urgency)] =
+        static_cast<std::int32_t>(Share.Permille);
+  return Out;
+}
+
+refused_shares fromWire(const std::map<std::int32_t, std::int32_t> &In) {
+  refused_shares Shares;
+  for (const auto &[Urgency, Permille] : In)
+    Shares.push_back({toCount(Urgency), toCount(Permille)});
+  return Shares;
+}
+
 wire::home_load toWire(const home_load &Load) {
   wire::home_load Out;
   Out.running = static_cast<std::int32_t>(Load.Running);
@@ -63,14 +78,21 @@
   Out.limit = static_cast<std::int32_t>(Load.Limit);
   Out.service_time_us = Load.ServiceTime.count();
   Out.failed_permille = static_cast<std::int32_t>(Load.FailedPermille);
-  Out.refused_permille = static_cast<std::int32_t>(Load.RefusedPermille);
+  Out.refused = toWire(Load.Refused);
+  Out.downstream = toWire(Load.Downstream);
   return Out;
 }
 
 home_load fromWire(const wire::home_load &In) {
-  return {toCount(In.running),         toCount(In.waiting),
-          toCount(In.limit),           microseconds(In.service_time_us),
-          toCount(In.failed_permille), toCount(In.refused_permille)};
+  home_load Load;
+  Load.Running = toCount(In.running);
+  Load.Waiting = toCount(In.waiting);
+  Load.Limit = toCount(In.limit);
+  Load.ServiceTime = microseconds(In.service_time_us);
+  Load.FailedPermille = toCount(In.failed_permille);
+  Load.Refused = fromWire(In.refused);
+  Load.Downstream = fromWire(In.downstream);
+  return Load;
 }
 
 wire::home_record toWire(const home_record &Record, instant Now) {
@@ -116,6 +138,8 @@
   Out.urgency = static_cast<std::int32_t>(Call.Urgency);
   Out.idempotent = Call.Idempotent;
   Out.nested = Call.Nested;
+  Out.repeat = Call.Repeat;
+  Out.unasked = static_cast<std::int32_t>(Call.Unasked);
   return Out;
 }
 
@@ -134,6 +158,8 @@
   Call.Urgency = toCount(In.urgency);
   Call.Idempotent = In.idempotent;
   Call.Nested = In.nested;
+  Call.Repeat = In.repeat;
+  Call.Unasked = toCount(In.unasked);
   return Call;
 }
 
--- a/src/libchivebeam/routing/expected_end_picker.cpp
+++ b/src/libchivebeam/routing/expected_end_picker.cpp
@@ -20,6 +20,8 @@
 constexpr double LoadHalfLifeMicros = 300'000;
 /// A load report older than this says nothing.
 constexpr milliseconds LoadLifetime{1'500};
+/// Within this time a home node that has no room is taken at its word.
+constexpr milliseconds FreshLoad{100};
 /// A backend server in its cold start takes about twice as long.
 constexpr double ColdFactor = 2.0;
 /// Cost of a busy server beside an idle one, as a part of a call's time: calls
@@ -28,9 +30,10 @@
 /// The round trip to another failure domain.
 constexpr double RemoteMicros = 4'000;
 /// A call stays in its failure domain while the mean of its expected time is
-/// below this part of the time until its goal: half of the calls take longer
-/// than the mean, a few much longer.
-constexpr double GoalPart = 0.7;
+/// below this part of the time until its goal.
+constexpr double GoalPart = 0.9;
+/// Nested calls wait for each other only; more than so many seldom do.
+constexpr double MaxQueuedNested = 2;
 /// Bodies beyond this size count as large.
 constexpr std::size_t LargeBody = 16 << 10;
 /// A server that failed every recent call costs so many times as much.
@@ -63,10 +66,10 @@
   return Usual == UsualMicros.end() ? DefaultCallMicros : Usual->second;
 }
 
-double expected_end_picker::timeOf(const route_name &Route,
+double expected_end_picker::timeOf(const call_needs &Needs,
                                    const endpoint &Endpoint,
                                    const server &Server, instant Now) const {
-  double Micros = usualMicros(Route) * Server.Slowness;
+  double Micros = usualMicros(Needs.Route) * Server.Slowness;
   if (Now < Endpoint.ReadySince)
     Micros *= ColdFactor;
   double MeanMicros = Micros;
@@ -85,14 +88,15 @@
   }
   double Present = Others + Server.Open;
   double Queued = std::max(0.0, Present + 1 - Limit);
+  if (Needs.Nested)
+    Queued = std::min(Queued, MaxQueuedNested);
   double Busy = std::min(1.0, Present / Limit) * BusyPart;
   return Micros * (1 + Busy) + MeanMicros * Queued / Limit;
 }
 
-double expected_end_picker::costOf(const route_name &Route,
-                                   const endpoint &Endpoint, instant Now) {
-  server &Server = serverOf(Endpoint);
-  double Cost = timeOf(Route, Endpoint, Server, Now);
+double expected_end_picker::costOf(double Micros, const endpoint &Endpoint,
+                                   const server &Server, instant Now) const {
+  double Cost = Micros;
   if (Endpoint.Domain != Domain)
     Cost += RemoteMicros;
   Cost *= 1 + Server.Failures.value(Now) * FailureFactor;
@@ -102,10 +106,22 @@
   return Cost;
 }
 
+bool expected_end_picker::mayTake(const server &Server, double Micros,
+                                  const call_needs &Needs, instant Now) const {
+  if (Now >= Server.ReportedAt + FreshLoad)
+    return true;
+  if (Micros <= static_cast<double>(Needs.GoalLeft.count()))
+    return true;
+  if (Needs.Nested)
+    return Server.Load.Limit > 0;
+  return Micros <= static_cast<double>(Needs.TimeLeft.count()) &&
+         Server.Load.Waiting < Server.Load.Limit * LateCallsPerSlot;
+}
+
 expected_end_picker::candidate
-expected_end_picker::cheapest(const route_name &Route,
-                              const std::vector<endpoint> &Endpoints,
-                              const std::set<node_id> &Excluded, instant Now) {
+expected_end_picker::cheapest(const std::vector<endpoint> &Endpoints,
+                              const std::set<node_id> &Excluded,
+                              const call_needs &Needs, instant Now) {
   candidate Best;
   std::size_t Count = Endpoints.size();
   if (Count == 0)
@@ -117,11 +133,15 @@
     if (Excluded.contains(Endpoint.Node))
       continue;
     ++Drawn;
-    double Cost = costOf(Route, Endpoint, Now);
-    if (!Best.Endpoint || Cost < Best.Cost)
-      Best = {&Endpoint, Cost};
+    const server &Server = serverOf(Endpoint);
+    double Micros = timeOf(Needs, Endpoint, Server, Now);
     if (Draws < Count)
       Start = Random.below(Count);
+    if (!mayTake(Server, Micros, Needs, Now))
+      continue;
+    double Cost = costOf(Micros, Endpoint, Server, Now);
+    if (!Best.Endpoint || Cost < Best.Cost)
+      Best = {&Endpoint, Cost};
   }
   return Best;
 }
@@ -137,12 +157,12 @@
                                              const std::set<node_id> &Excluded,
                                              const call_needs &Needs,
                                              instant Now) {
-  candidate Near = cheapest(Needs.Route, Group.Local, Excluded, Now);
+  candidate Near = cheapest(Group.Local, Excluded, Needs, Now);
   microseconds Left = Needs.Bytes > LargeBody ? Needs.TimeLeft : Needs.GoalLeft;
   if (Near.Endpoint &&
       Near.Cost <= static_cast<double>(Left.count()) * GoalPart)
     return Near.Endpoint;
-  candidate Far = cheapest(Needs.Route, Group.Remote, Excluded, Now);
+  candidate Far = cheapest(Group.Remote, Excluded, Needs, Now);
   if (!Far.Endpoint || (Near.Endpoint && Near.Cost <= Far.Cost))
     return Near.Endpoint;
   return Far.Endpoint;
@@ -204,4 +224,28 @@
   return &Found->second.Load;
 }
 
+overload_view expected_end_picker::overload(const endpoint_group &Group,
+                                            instant Now) const {
+  std::map<unsigned, unsigned> Own;
+  std::map<unsigned, unsigned> Below;
+  unsigned Known = 0;
+  for (const auto *Side : {&Group.Local, &Group.Remote})
+    for (const endpoint &Endpoint : *Side) {
+      const home_load *Load = recentLoad(Endpoint, Now);
+      if (!Load)
+        continue;
+      ++Known;
+      for (const refused_share &Share : Load->Refused)
+        Own[Share.Urgency] += Share.Permille;
+      for (const refused_share &Share : Load->Downstream)
+        Below[Share.Urgency] += Share.Permille;
+    }
+  overload_view View;
+  for (const auto &[Urgency, Sum] : Own)
+    View.Own.push_back({Urgency, Sum / Known});
+  for (const auto &[Urgency, Sum] : Below)
+    View.Downstream.push_back({Urgency, Sum / Known});
+  return View;
+}
+
 } // namespace chivebeam
--- a/src/libchivebeam/routing/expected_end_picker.h
+++ b/src/libchivebeam/routing/expected_end_picker.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "routing/picking_policy.h"
 #include "routing/recent_share.h"
+#include "routing/root_admission.h"
 
 namespace chivebeam {
 
@@ -14,6 +15,7 @@
   microseconds GoalLeft = microseconds::max(); ///< until its goal
   microseconds TimeLeft = microseconds::max(); ///< until its deadline
   std::size_t Bytes = 0;                       ///< of its body
+  bool Nested = false; ///< home nodes let it go before outside calls
 };
 
 /// Chooses the backend server that is expected to answer first, from the load
@@ -30,7 +32,8 @@
 
   const endpoint *pick(const service_name &Service, const endpoint_group &Group,
                        const std::set<node_id> &Excluded, instant Now) override;
-  /// As pick, for a call with known needs.
+  /// As pick, for a call with known needs. Returns null also if every home node
+  /// that is left has said just now that it has no room for such a call.
   const endpoint *pickFor(const endpoint_group &Group,
                           const std::set<node_id> &Excluded,
                           const call_needs &Needs, instant Now);
@@ -46,6 +49,9 @@
            microseconds Duration);
   /// Returns the load last heard of, if it is recent.
   const home_load *recentLoad(const endpoint &Endpoint, instant Now) const;
+  /// Returns the mean of what the home nodes of a group have said of refusals,
+  /// at themselves and downstream.
+  overload_view overload(const endpoint_group &Group, instant Now) const;
 
 private:
   struct server {
@@ -66,12 +72,16 @@
   server &serverOf(const endpoint &Endpoint);
   /// Usual time of a call that doesn't wait.
   double usualMicros(const route_name &Route) const;
-  double timeOf(const route_name &Route, const endpoint &Endpoint,
+  double timeOf(const call_needs &Needs, const endpoint &Endpoint,
                 const server &Server, instant Now) const;
-  double costOf(const route_name &Route, const endpoint &Endpoint, instant Now);
-  candidate cheapest(const route_name &Route,
-                     const std::vector<endpoint> &Endpoints,
-                     const std::set<node_id> &Excluded, instant Now);
+  double costOf(double Micros, const endpoint &Endpoint, const server &Server,
+                instant Now) const;
+  candidate cheapest(const std::vector<endpoint> &Endpoints,
+                     const std::set<node_id> &Excluded, const call_needs &Needs,
+                     instant Now);
+  /// False if the home node is known to refuse such a call.
+  bool mayTake(const server &Server, double Micros, const call_needs &Needs,
+               instant Now) const;
 
   static constexpr microseconds FailureHalfLife{2'000'000};
 
--- a/src/libchivebeam/routing/home_load.h
+++ b/src/libchivebeam/routing/home_load.h
@@ -1,9 +1,13 @@
 #pragma once
 
-#include "base/units.h"
+#include "routing/refused_shares.h"
 
 namespace chivebeam {
 
+/// While fewer calls than this wait for each slot, a home node takes one that
+/// will miss its goal but not its deadline.
+inline constexpr double LateCallsPerSlot = 0.5;
+
 /// How busy a home node's backend server is; written on every answer between
 /// nodes. A plain value.
 struct home_load {
@@ -12,7 +16,8 @@
   unsigned Limit = 0;          ///< calls that it runs at a time; zero: none now
   microseconds ServiceTime{0}; ///< of a call, of late; zero: unknown
   unsigned FailedPermille = 0; ///< of late
-  unsigned RefusedPermille = 0; ///< of calls of outside callers, of late
+  refused_shares Refused;      ///< of calls of outside callers, of late
+  refused_shares Downstream;   ///< the same, at services that this one calls
 
   friend bool operator==(const home_load &, const home_load &) = default;
 };
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// While fewer calls wait for each slot, one that misses its goal is taken.
-constexpr double LateCallsPerSlot = 0.5;
 /// A call is hopeless when less than this part of its usual time is left, in
 /// percent: half of the calls are faster than the mean.
 constexpr int HopelessPercent = 60;
 /// Part of the slots that outside callers get however many calls are nested.
 constexpr double LeastPartForOthers = 0.1;
+/// Refusals without asking that are counted at a time.
+constexpr unsigned MaxUnasked = 100;
 /// Memory for queued requests is bounded by this many calls for each slot.
 constexpr std::size_t MaxWaitingPerSlot = 32;
 
@@ -100,7 +100,12 @@
 void slot_queue::noteRefusal(const slot_request &Request, bool Refused,
                              instant Now) {
   if (!Request.Nested)
-    Refusals.record(Refused, Now);
+    Refusals.record(Request.Urgency, Refused, Now);
+}
+
+void slot_queue::noteUnasked(unsigned Urgency, unsigned Calls, instant Now) {
+  for (unsigned Call = 0; Call < std::min(Calls, MaxUnasked); ++Call)
+    Refusals.record(Urgency, true, Now);
 }
 
 slot_change slot_queue::release(const slot_request &Request,
@@ -158,7 +163,7 @@
   Load.Waiting = static_cast<unsigned>(Waiting.size());
   Load.Limit = Slots;
   Load.ServiceTime = Times.overall();
-  Load.RefusedPermille = static_cast<unsigned>(Refusals.value(Now) * 1'000);
+  Load.Refused = Refusals.shares(Now);
   return Load;
 }
 
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -54,6 +54,8 @@
   slot_change releaseUnused(instant Now);
   /// Removes a waiting call whose caller went away.
   void abandon(call_number Call);
+  /// Counts calls that entry nodes refused without asking.
+  void noteUnasked(unsigned Urgency, unsigned Calls, instant Now);
   /// Refuses waiting calls that can't be served in time any more.
   slot_change dropHopeless(instant Now);
 
@@ -62,7 +64,7 @@
   microseconds expectedDuration(const route_name &Route) const {
     return Times.expected(Route);
   }
-  /// Counts, times and refusals; failures are left at zero.
+  /// Counts, times and refusals; the rest is left at zero.
   home_load load(instant Now) const;
   /// Another backend server took the place of the one that was measured.
   void forgetTimes() { Times.reset(); }
@@ -82,7 +84,7 @@
   std::vector<slot_request> Waiting;
   service_times Times;
   recent_rate NestedWork{LoadHalfLife};
-  recent_share Refusals{LoadHalfLife};
+  refusal_counter Refusals{LoadHalfLife};
 
   static constexpr microseconds LoadHalfLife{500'000};
 };
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -137,7 +137,9 @@
   3: i32 limit
   4: i64 service_time_us
   5: i32 failed_permille
-  6: i32 refused_permille
+  // Pairs of urgency and permille.
+  6: map<i32, i32> refused
+  7: map<i32, i32> downstream
 }
 
 struct home_record {
@@ -168,6 +170,8 @@
   10: i32 urgency
   11: bool idempotent
   12: bool nested
+  13: i32 unasked
+  14: bool repeat
 }
 
 struct call_answer {
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -2712,8 +2712,12 @@
   this->failed_permille = val;
 }
 
-void home_load::__set_refused_permille(const int32_t val) {
-  this->refused_permille = val;
+void home_load::__set_refused(const std::map<int32_t, int32_t> & val) {
+  this->refused = val;
+}
+
+void home_load::__set_downstream(const std::map<int32_t, int32_t> & val) {
+  this->downstream = val;
 }
 std::ostream& operator<<(std::ostream& out, const home_load& obj)
 {
@@ -2784,9 +2788,47 @@
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->refused_permille);
-          this->__isset.refused_permille = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->refused.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _ktype63;
+            ::apache::thrift::protocol::TType _vtype64;
+            xfer += iprot->readMapBegin(_ktype63, _vtype64, _size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              int32_t _key67;
+              xfer += iprot->readI32(_key67);
+              int32_t& _val68 = this->refused[_key67];
+              xfer += iprot->readI32(_val68);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->downstream.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _ktype70;
+            ::apache::thrift::protocol::TType _vtype71;
+            xfer += iprot->readMapBegin(_ktype70, _vtype71, _size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              int32_t _key74;
+              xfer += iprot->readI32(_key74);
+              int32_t& _val75 = this->downstream[_key74];
+              xfer += iprot->readI32(_val75);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.downstream = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2828,8 +2870,30 @@
   xfer += oprot->writeI32(this->failed_permille);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("refused_permille", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->refused_permille);
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused.size()));
+    std::map<int32_t, int32_t> ::const_iterator _iter76;
+    for (_iter76 = this->refused.begin(); _iter76 != this->refused.end(); ++_iter76)
+    {
+      xfer += oprot->writeI32(_iter76->first);
+      xfer += oprot->writeI32(_iter76->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("downstream", ::apache::thrift::protocol::T_MAP, 7);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->downstream.size()));
+    std::map<int32_t, int32_t> ::const_iterator _iter77;
+    for (_iter77 = this->downstream.begin(); _iter77 != this->downstream.end(); ++_iter77)
+    {
+      xfer += oprot->writeI32(_iter77->first);
+      xfer += oprot->writeI32(_iter77->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2844,27 +2908,30 @@
   swap(a.limit, b.limit);
   swap(a.service_time_us, b.service_time_us);
   swap(a.failed_permille, b.failed_permille);
-  swap(a.refused_permille, b.refused_permille);
+  swap(a.refused, b.refused);
+  swap(a.downstream, b.downstream);
   swap(a.__isset, b.__isset);
 }
 
-home_load::home_load(const home_load& other62) noexcept {
-  running = other62.running;
-  waiting = other62.waiting;
-  limit = other62.limit;
-  service_time_us = other62.service_time_us;
-  failed_permille = other62.failed_permille;
-  refused_permille = other62.refused_permille;
-  __isset = other62.__isset;
-}
-home_load& home_load::operator=(const home_load& other63) noexcept {
-  running = other63.running;
-  waiting = other63.waiting;
-  limit = other63.limit;
-  service_time_us = other63.service_time_us;
-  failed_permille = other63.failed_permille;
-  refused_permille = other63.refused_permille;
-  __isset = other63.__isset;
+home_load::home_load(const home_load& other78) {
+  running = other78.running;
+  waiting = other78.waiting;
+  limit = other78.limit;
+  service_time_us = other78.service_time_us;
+  failed_permille = other78.failed_permille;
+  refused = other78.refused;
+  downstream = other78.downstream;
+  __isset = other78.__isset;
+}
+home_load& home_load::operator=(const home_load& other79) {
+  running = other79.running;
+  waiting = other79.waiting;
+  limit = other79.limit;
+  service_time_us = other79.service_time_us;
+  failed_permille = other79.failed_permille;
+  refused = other79.refused;
+  downstream = other79.downstream;
+  __isset = other79.__isset;
   return *this;
 }
 void home_load::printTo(std::ostream& out) const {
@@ -2875,7 +2942,8 @@
   out << ", " << "limit=" << to_string(limit);
   out << ", " << "service_time_us=" << to_string(service_time_us);
   out << ", " << "failed_permille=" << to_string(failed_permille);
-  out << ", " << "refused_permille=" << to_string(refused_permille);
+  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "downstream=" << to_string(downstream);
   out << ")";
 }
 
@@ -3108,31 +3176,31 @@
   swap(a.__isset, b.__isset);
 }
 
-home_record::home_record(const home_record& other64) {
-  node = other64.node;
-  peer = other64.peer;
-  domain = other64.domain;
-  worker = other64.worker;
-  born_ms = other64.born_ms;
-  report = other64.report;
-  change = other64.change;
-  node_leaving = other64.node_leaving;
-  record = other64.record;
-  cold_us = other64.cold_us;
-  __isset = other64.__isset;
-}
-home_record& home_record::operator=(const home_record& other65) {
-  node = other65.node;
-  peer = other65.peer;
-  domain = other65.domain;
-  worker = other65.worker;
-  born_ms = other65.born_ms;
-  report = other65.report;
-  change = other65.change;
-  node_leaving = other65.node_leaving;
-  record = other65.record;
-  cold_us = other65.cold_us;
-  __isset = other65.__isset;
+home_record::home_record(const home_record& other80) {
+  node = other80.node;
+  peer = other80.peer;
+  domain = other80.domain;
+  worker = other80.worker;
+  born_ms = other80.born_ms;
+  report = other80.report;
+  change = other80.change;
+  node_leaving = other80.node_leaving;
+  record = other80.record;
+  cold_us = other80.cold_us;
+  __isset = other80.__isset;
+}
+home_record& home_record::operator=(const home_record& other81) {
+  node = other81.node;
+  peer = other81.peer;
+  domain = other81.domain;
+  worker = other81.worker;
+  born_ms = other81.born_ms;
+  report = other81.report;
+  change = other81.change;
+  node_leaving = other81.node_leaving;
+  record = other81.record;
+  cold_us = other81.cold_us;
+  __isset = other81.__isset;
   return *this;
 }
 void home_record::printTo(std::ostream& out) const {
@@ -3203,6 +3271,14 @@
 void call_request::__set_nested(const bool val) {
   this->nested = val;
 }
+
+void call_request::__set_unasked(const int32_t val) {
+  this->unasked = val;
+}
+
+void call_request::__set_repeat(const bool val) {
+  this->repeat = val;
+}
 std::ostream& operator<<(std::ostream& out, const call_request& obj)
 {
   obj.printTo(out);
@@ -3283,14 +3359,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->fields.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->fields.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->fields[_i70].read(iprot);
+              xfer += this->fields[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3339,6 +3415,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unasked);
+          this->__isset.unasked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeat);
+          this->__isset.repeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3383,10 +3475,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<header_field> ::const_iterator _iter71;
-    for (_iter71 = this->fields.begin(); _iter71 != this->fields.end(); ++_iter71)
+    std::vector<header_field> ::const_iterator _iter87;
+    for (_iter87 = this->fields.begin(); _iter87 != this->fields.end(); ++_iter87)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3412,6 +3504,14 @@
   xfer += oprot->writeBool(this->nested);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unasked", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->unasked);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("repeat", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->repeat);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3431,38 +3531,44 @@
   swap(a.urgency, b.urgency);
   swap(a.idempotent, b.idempotent);
   swap(a.nested, b.nested);
+  swap(a.unasked, b.unasked);
+  swap(a.repeat, b.repeat);
   swap(a.__isset, b.__isset);
 }
 
-call_request::call_request(const call_request& other72) {
-  id = other72.id;
-  service_name = other72.service_name;
-  route = other72.route;
-  worker = other72.worker;
-  method = other72.method;
-  target = other72.target;
-  fields = other72.fields;
-  time_left_us = other72.time_left_us;
-  goal_left_us = other72.goal_left_us;
-  urgency = other72.urgency;
-  idempotent = other72.idempotent;
-  nested = other72.nested;
-  __isset = other72.__isset;
-}
-call_request& call_request::operator=(const call_request& other73) {
-  id = other73.id;
-  service_name = other73.service_name;
-  route = other73.route;
-  worker = other73.worker;
-  method = other73.method;
-  target = other73.target;
-  fields = other73.fields;
-  time_left_us = other73.time_left_us;
-  goal_left_us = other73.goal_left_us;
-  urgency = other73.urgency;
-  idempotent = other73.idempotent;
-  nested = other73.nested;
-  __isset = other73.__isset;
+call_request::call_request(const call_request& other88) {
+  id = other88.id;
+  service_name = other88.service_name;
+  route = other88.route;
+  worker = other88.worker;
+  method = other88.method;
+  target = other88.target;
+  fields = other88.fields;
+  time_left_us = other88.time_left_us;
+  goal_left_us = other88.goal_left_us;
+  urgency = other88.urgency;
+  idempotent = other88.idempotent;
+  nested = other88.nested;
+  unasked = other88.unasked;
+  repeat = other88.repeat;
+  __isset = other88.__isset;
+}
+call_request& call_request::operator=(const call_request& other89) {
+  id = other89.id;
+  service_name = other89.service_name;
+  route = other89.route;
+  worker = other89.worker;
+  method = other89.method;
+  target = other89.target;
+  fields = other89.fields;
+  time_left_us = other89.time_left_us;
+  goal_left_us = other89.goal_left_us;
+  urgency = other89.urgency;
+  idempotent = other89.idempotent;
+  nested = other89.nested;
+  unasked = other89.unasked;
+  repeat = other89.repeat;
+  __isset = other89.__isset;
   return *this;
 }
 void call_request::printTo(std::ostream& out) const {
@@ -3480,6 +3586,8 @@
   out << ", " << "urgency=" << to_string(urgency);
   out << ", " << "idempotent=" << to_string(idempotent);
   out << ", " << "nested=" << to_string(nested);
+  out << ", " << "unasked=" << to_string(unasked);
+  out << ", " << "repeat=" << to_string(repeat);
   out << ")";
 }
 
@@ -3563,14 +3671,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->fields.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->fields.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->fields[_i78].read(iprot);
+              xfer += this->fields[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3639,10 +3747,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<header_field> ::const_iterator _iter79;
-    for (_iter79 = this->fields.begin(); _iter79 != this->fields.end(); ++_iter79)
+    std::vector<header_field> ::const_iterator _iter95;
+    for (_iter95 = this->fields.begin(); _iter95 != this->fields.end(); ++_iter95)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3681,25 +3789,25 @@
   swap(a.__isset, b.__isset);
 }
 
-call_answer::call_answer(const call_answer& other80) {
-  outcome = other80.outcome;
-  status = other80.status;
-  fields = other80.fields;
-  load = other80.load;
-  wait_us = other80.wait_us;
-  reason = other80.reason;
-  ran_us = other80.ran_us;
-  __isset = other80.__isset;
-}
-call_answer& call_answer::operator=(const call_answer& other81) {
-  outcome = other81.outcome;
-  status = other81.status;
-  fields = other81.fields;
-  load = other81.load;
-  wait_us = other81.wait_us;
-  reason = other81.reason;
-  ran_us = other81.ran_us;
-  __isset = other81.__isset;
+call_answer::call_answer(const call_answer& other96) {
+  outcome = other96.outcome;
+  status = other96.status;
+  fields = other96.fields;
+  load = other96.load;
+  wait_us = other96.wait_us;
+  reason = other96.reason;
+  ran_us = other96.ran_us;
+  __isset = other96.__isset;
+}
+call_answer& call_answer::operator=(const call_answer& other97) {
+  outcome = other97.outcome;
+  status = other97.status;
+  fields = other97.fields;
+  load = other97.load;
+  wait_us = other97.wait_us;
+  reason = other97.reason;
+  ran_us = other97.ran_us;
+  __isset = other97.__isset;
   return *this;
 }
 void call_answer::printTo(std::ostream& out) const {
@@ -3823,14 +3931,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->records.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->records.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->records[_i86].read(iprot);
+              xfer += this->records[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3890,10 +3998,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<home_record> ::const_iterator _iter87;
-      for (_iter87 = this->records.begin(); _iter87 != this->records.end(); ++_iter87)
+      std::vector<home_record> ::const_iterator _iter103;
+      for (_iter103 = this->records.begin(); _iter103 != this->records.end(); ++_iter103)
       {
-        xfer += (*_iter87).write(oprot);
+        xfer += (*_iter103).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3921,25 +4029,25 @@
   swap(a.__isset, b.__isset);
 }
 
-peer_frame::peer_frame(const peer_frame& other88) {
-  kind = other88.kind;
-  call = other88.call;
-  config = other88.config;
-  request = other88.request;
-  answer = other88.answer;
-  records = other88.records;
-  evidence = other88.evidence;
-  __isset = other88.__isset;
-}
-peer_frame& peer_frame::operator=(const peer_frame& other89) {
-  kind = other89.kind;
-  call = other89.call;
-  config = other89.config;
-  request = other89.request;
-  answer = other89.answer;
-  records = other89.records;
-  evidence = other89.evidence;
-  __isset = other89.__isset;
+peer_frame::peer_frame(const peer_frame& other104) {
+  kind = other104.kind;
+  call = other104.call;
+  config = other104.config;
+  request = other104.request;
+  answer = other104.answer;
+  records = other104.records;
+  evidence = other104.evidence;
+  __isset = other104.__isset;
+}
+peer_frame& peer_frame::operator=(const peer_frame& other105) {
+  kind = other105.kind;
+  call = other105.call;
+  config = other105.config;
+  request = other105.request;
+  answer = other105.answer;
+  records = other105.records;
+  evidence = other105.evidence;
+  __isset = other105.__isset;
   return *this;
 }
 void peer_frame::printTo(std::ostream& out) const {
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1109,27 +1109,27 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _home_load__isset {
-  _home_load__isset() : running(false), waiting(false), limit(false), service_time_us(false), failed_permille(false), refused_permille(false) {}
+  _home_load__isset() : running(false), waiting(false), limit(false), service_time_us(false), failed_permille(false), refused(false), downstream(false) {}
   bool running :1;
   bool waiting :1;
   bool limit :1;
   bool service_time_us :1;
   bool failed_permille :1;
-  bool refused_permille :1;
+  bool refused :1;
+  bool downstream :1;
 } _home_load__isset;
 
 class home_load : public virtual ::apache::thrift::TBase {
  public:
 
-  home_load(const home_load&) noexcept;
-  home_load& operator=(const home_load&) noexcept;
+  home_load(const home_load&);
+  home_load& operator=(const home_load&);
   home_load() noexcept
             : running(0),
               waiting(0),
               limit(0),
               service_time_us(0),
-              failed_permille(0),
-              refused_permille(0) {
+              failed_permille(0) {
   }
 
   virtual ~home_load() noexcept;
@@ -1138,7 +1138,8 @@
   int32_t limit;
   int64_t service_time_us;
   int32_t failed_permille;
-  int32_t refused_permille;
+  std::map<int32_t, int32_t>  refused;
+  std::map<int32_t, int32_t>  downstream;
 
   _home_load__isset __isset;
 
@@ -1152,7 +1153,9 @@
 
   void __set_failed_permille(const int32_t val);
 
-  void __set_refused_permille(const int32_t val);
+  void __set_refused(const std::map<int32_t, int32_t> & val);
+
+  void __set_downstream(const std::map<int32_t, int32_t> & val);
 
   bool operator == (const home_load & rhs) const
   {
@@ -1166,7 +1169,9 @@
       return false;
     if (!(failed_permille == rhs.failed_permille))
       return false;
-    if (!(refused_permille == rhs.refused_permille))
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(downstream == rhs.downstream))
       return false;
     return true;
   }
@@ -1291,7 +1296,7 @@
 std::ostream& operator<<(std::ostream& out, const home_record& obj);
 
 typedef struct _call_request__isset {
-  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false) {}
+  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false) {}
   bool id :1;
   bool service_name :1;
   bool route :1;
@@ -1304,6 +1309,8 @@
   bool urgency :1;
   bool idempotent :1;
   bool nested :1;
+  bool unasked :1;
+  bool repeat :1;
 } _call_request__isset;
 
 class call_request : public virtual ::apache::thrift::TBase {
@@ -1322,7 +1329,9 @@
                  goal_left_us(0),
                  urgency(0),
                  idempotent(0),
-                 nested(0) {
+                 nested(0),
+                 unasked(0),
+                 repeat(0) {
   }
 
   virtual ~call_request() noexcept;
@@ -1338,6 +1347,8 @@
   int32_t urgency;
   bool idempotent;
   bool nested;
+  int32_t unasked;
+  bool repeat;
 
   _call_request__isset __isset;
 
@@ -1365,6 +1376,10 @@
 
   void __set_nested(const bool val);
 
+  void __set_unasked(const int32_t val);
+
+  void __set_repeat(const bool val);
+
   bool operator == (const call_request & rhs) const
   {
     if (!(id == rhs.id))
@@ -1391,6 +1406,10 @@
       return false;
     if (!(nested == rhs.nested))
       return false;
+    if (!(unasked == rhs.unasked))
+      return false;
+    if (!(repeat == rhs.repeat))
+      return false;
     return true;
   }
   bool operator != (const call_request &rhs) const {
