Use the worker until callers have left a stopping node; tell callers the true wait

Cause: a stopping node handed its worker's calls back at SIGTERM, 2.8 s before its callers had left, and a refused caller was sent away for longer than the queue needs to shrink.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -15,6 +15,8 @@
 
 /// When no backend server is known, the next report of one may change that.
 constexpr milliseconds NobodyWait{300};
+/// When no home node has room, slots free up within a few calls.
+constexpr milliseconds NoRoomWait{100};
 /// A service counts as called by the backend server for so long.
 constexpr milliseconds ChildLifetime{3'000};
 /// Refused share downstream from which on a server's failure counts as caused
@@ -146,7 +148,7 @@
                                           cancel_signal Cancel) {
   entry_call Entry;
   Entry.View = State.view();
-  if (Closed)
+  if (Closed && !Dialect.parentOf(Request.Id))
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::not_run, spread(NobodyWait)};
   if (!Entry.View)
@@ -217,7 +219,8 @@
   const mesh_call &Call = Entry.Call;
   if (!Call.Nested && Entry.Attempts == 0)
     ++Unasked[{Call.Service, Call.Urgency}];
-  Entry.Wait = std::max<microseconds>(Entry.Wait, NobodyWait);
+  if (Entry.Wait.count() == 0)
+    Entry.Wait = NoRoomWait;
   mesh_answer Nobody = noAnswer(attempt_outcome::not_sent, std::move(Reason));
   next_step Step = lastStep(Nobody.Outcome, Entry.History);
   log(Entry, endpoint(), Nobody, Step, microseconds(0));
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -52,7 +52,8 @@
 
   /// The view has changed.
   void viewChanged();
-  /// Refuses calls from now on; those under way go on to their end.
+  /// Refuses calls of outside callers from now on; those under way, and what
+  /// the backend server calls meanwhile, go on to their end.
   void close() { Closed = true; }
   std::size_t openCalls() const { return OpenCalls; }
   /// Returns what is known of refusals at the services that the backend server
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -95,8 +95,8 @@
 
 void home_runner::refuse(const job &Job, std::string Reason) {
   mesh_answer Answer = noAnswer(attempt_outcome::not_sent, std::move(Reason));
-  Answer.Wait =
-      std::max<microseconds>(Queue.expectedWait(currentTime()), MinWait);
+  Answer.Wait = std::max<microseconds>(
+      Queue.excessWait(Job.Slot, currentTime()), MinWait);
   finish(Job, std::move(Answer));
 }
 
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -286,9 +286,6 @@
       .add("node", Settings.Node)
       .add("open_calls", Router.openCalls())
       .add("running_calls", Home.active());
-  Workers.leave();
-  Home.stop();
-  asio::co_spawn(Context, Registrar.withdraw(), asio::detached);
   asio::co_spawn(Context, stop(), asio::detached);
 }
 
@@ -296,8 +293,12 @@
   instant Started = currentTime();
   instant Latest = Started + Settings.Grace * GracePartsUsed / GraceParts;
   co_await sleepFor(std::min<microseconds>(CallersLeave, Latest - Started));
-  // A call that is taken now still ends before the process has to.
+  // A call that was taken until now still ends before the process has to.
+  // Other nodes used the backend server up to here; now they go elsewhere.
   Router.close();
+  Workers.leave();
+  Home.stop();
+  asio::co_spawn(Context, Registrar.withdraw(), asio::detached);
   instant QuietSince;
   while (currentTime() < Latest) {
     for (consumer_session *Session : OpenSessions)
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -150,11 +150,10 @@
   }
 }
 
-microseconds slot_queue::expectedWait(instant Now) const {
-  slot_request Ordinary;
-  Ordinary.Urgency = ~0U;
-  Ordinary.Goal = instant::max();
-  return waitOf(Ordinary, Now);
+microseconds slot_queue::excessWait(const slot_request &Request,
+                                    instant Now) const {
+  instant End = Now + waitOf(Request, Now) + Times.expected(Request.Route);
+  return std::max(End - std::max(Request.Goal, Now), microseconds(0));
 }
 
 home_load slot_queue::load(instant Now) const {
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -59,8 +59,9 @@
   /// Refuses waiting calls that can't be served in time any more.
   slot_change dropHopeless(instant Now);
 
-  /// Returns how long an ordinary call that arrives now would wait.
-  microseconds expectedWait(instant Now) const;
+  /// Returns by how much the queue is too long for the call to meet its goal:
+  /// the time after which there may be room, if no more calls came.
+  microseconds excessWait(const slot_request &Request, instant Now) const;
   microseconds expectedDuration(const route_name &Route) const {
     return Times.expected(Route);
   }
--- a/tests/routing/slot_queue_test.cpp
+++ b/tests/routing/slot_queue_test.cpp
@@ -108,12 +108,14 @@
 
 BOOST_AUTO_TEST_CASE(nested_calls_to_come_are_part_of_the_expected_wait) {
   slot_queue Queue = busyQueue(4);
-  microseconds Before = Queue.expectedWait(Start);
+  slot_request Outside = request(1);
+  microseconds Before = Queue.excessWait(Outside, Start);
   slot_request Nested = request(0);
   Nested.Nested = true;
   for (unsigned Number = 0; Number < 20; ++Number)
     Queue.release(Nested, milliseconds(50), Start);
   for (unsigned Number = 0; Number < 4; ++Number)
     Queue.arrive(request(Number), Start);
-  BOOST_TEST(Queue.expectedWait(Start).count() > Before.count());
+  Outside.Goal = Start;
+  BOOST_TEST(Queue.excessWait(Outside, Start).count() > Before.count());
 }
