--- a/src/chivebeam/mesh/frame_channel.h
+++ b/src/chivebeam/mesh/frame_channel.h
@@ -25,6 +25,8 @@
   void close();
   bool isOpen() const { return Open; }
   instant lastHeard() const { return LastHeard; }
+  /// True while frames wait for the link to take them.
+  bool isSending() const { return Writing; }
   /// Returns the other side's IP address.
   std::string remoteIp() const;
 
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr milliseconds TickInterval{100};
+/// Nodes tell each other of their changes at once; the store's word may wait.
+constexpr milliseconds MeshGather{1'500};
 /// A node without the store asks its peers so often for what it lacks.
 constexpr milliseconds AskInterval{300};
 /// Nodes whose entries vanished are asked so often whether they live.
@@ -74,8 +76,9 @@
       Moves(Context, *CallStore, Settings, *Parts.Orders, State, Hub),
       OrderListener(*Parts.Orders, State, Moves),
       MeshListener(Settings, State, Moves, Workers, Registrar),
-      OrderFeed(*OrderStore, Parts.Orders->prefix(), OrderListener),
-      MeshFeed(*MeshStore, mesh_keys::prefix(), MeshListener),
+      OrderFeed(*OrderStore, Parts.Orders->prefix(), OrderListener,
+                milliseconds(0)),
+      MeshFeed(*MeshStore, mesh_keys::prefix(), MeshListener, MeshGather),
       Sessions{Router, *Parts.Calls, State, Metrics,
                body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
       CallerAcceptor(Context), PeerAcceptor(Context),
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -21,6 +21,7 @@
 /// node answers late: its processor may stand still for a tenth of a second.
 constexpr milliseconds PingAfter{150};
 constexpr milliseconds SilenceLimit{600};
+constexpr milliseconds SendingLimit{2'000};
 
 } // namespace
 
@@ -175,6 +176,9 @@
       open();
     return;
   }
+  // What has not left yet can't be answered; an upload may fill a slow link.
+  if (PingOpen && Channel->isSending() && Now < PingedAt + SendingLimit)
+    return;
   if (PingOpen && Now >= PingedAt + SilenceLimit) {
     log_event("peer_silent")
         .add("peer", Node)
--- a/src/chivebeam/mesh/store_feed.cpp
+++ b/src/chivebeam/mesh/store_feed.cpp
@@ -17,9 +17,9 @@
 constexpr microseconds MinBackoff = milliseconds(50);
 constexpr microseconds MaxBackoff = milliseconds(700);
 /// Changes that follow each other more closely make the feed pause.
-constexpr milliseconds StormGap{350};
+constexpr milliseconds StormGap{600};
 /// How long it pauses; a change is in force well within a second all the same.
-constexpr milliseconds StormPause{300};
+constexpr milliseconds StormPause{500};
 
 /// Up to the whole of Longest, so that nodes don't come back together.
 microseconds jitter(microseconds Longest) {
@@ -31,8 +31,9 @@
 } // namespace
 
 store_feed::store_feed(config_store &FeedStore, std::string KeyPrefix,
-                       feed_listener &FeedListener)
-    : Store(FeedStore), Prefix(std::move(KeyPrefix)), Listener(FeedListener) {}
+                       feed_listener &FeedListener, milliseconds GatherTime)
+    : Store(FeedStore), Prefix(std::move(KeyPrefix)), Listener(FeedListener),
+      Gather(GatherTime) {}
 
 void store_feed::refresh() { Store.cancelWatch(); }
 
@@ -57,15 +58,22 @@
   noteContact(true, "listed");
   Revision = Answer->Revision;
   EverListed = true;
+  store_revision Newest;
+  for (const store_entry &Entry : Answer->Entries)
+    Newest = std::max(Newest, Entry.ModifiedAt);
+  // While changes go on, listings alone cost fewer calls than watches.
+  Pausing = Pausing && Newest != NewestEntry;
+  NewestEntry = Newest;
   Listener.listed(Answer->Entries);
   co_return true;
 }
 
-awaitable<void> store_feed::watch() {
-  Pausing = false;
+awaitable<bool> store_feed::watch() {
+  bool Gathering = false;
   error Ended = co_await Store.watch(
       Prefix, Revision.next(),
-      [this](store_revision At, const std::vector<watch_event> &Events) {
+      [this, &Gathering](store_revision At,
+                         const std::vector<watch_event> &Events) {
         Revision = At;
         noteContact(true, "watch");
         for (const watch_event &Event : Events)
@@ -75,30 +83,45 @@
         instant Now = currentTime();
         bool Storm = Now < LastEvent + StormGap;
         LastEvent = Now;
-        if (Storm && !Pausing) {
+        if (Storm)
           Pausing = true;
+        Gathering = !Storm && Gather.count() > 0;
+        if (Storm || Gathering)
           Store.cancelWatch();
-        }
       });
-  if (Pausing)
-    co_return;
+  if (Pausing || Gathering)
+    co_return true;
   if (Ended.Kind == error_kind::not_found)
     log_event("store_history_gone").add("prefix", Prefix).add("at", Revision);
+  co_return false;
+}
+
+awaitable<bool> store_feed::followWatches() {
+  for (;;) {
+    bool Intact = co_await watch();
+    if (!Intact || Pausing)
+      co_return Intact;
+    co_await sleepFor(Gather);
+  }
+}
+
+awaitable<void> store_feed::backOff() {
+  Backoff = std::clamp(Backoff * 2, MinBackoff, MaxBackoff);
+  co_await sleepFor(Backoff / 2 + jitter(Backoff / 2));
 }
 
 awaitable<void> store_feed::run() {
   for (;;) {
-    bool Listed = co_await list();
-    if (Listed) {
+    bool Intact = co_await list();
+    if (Intact) {
       Backoff = microseconds(0);
-      co_await watch();
+      if (!Pausing)
+        Intact = co_await followWatches();
     }
-    if (Pausing && Listed) {
+    if (Intact)
       co_await sleepFor(StormPause);
-      continue;
-    }
-    Backoff = std::clamp(Backoff * 2, MinBackoff, MaxBackoff);
-    co_await sleepFor(Backoff / 2 + jitter(Backoff / 2));
+    else
+      co_await backOff();
   }
 }
 
--- a/src/chivebeam/mesh/store_feed.h
+++ b/src/chivebeam/mesh/store_feed.h
@@ -21,8 +21,11 @@
 /// values don't fill the link. Runs on one io_context; not thread safe.
 class store_feed {
 public:
+  /// Gather: after a change the feed waits so long for others to come with it,
+  /// which saves calls where the change is known sooner from elsewhere.
   /// \pre Store and Listener outlive the feed; nobody else watches with Store.
-  store_feed(config_store &Store, std::string Prefix, feed_listener &Listener);
+  store_feed(config_store &Store, std::string Prefix, feed_listener &Listener,
+             milliseconds Gather);
 
   /// Follows until the context stops.
   awaitable<void> run();
@@ -38,13 +41,20 @@
 
 private:
   awaitable<bool> list();
-  awaitable<void> watch();
+  /// Returns true if it ended only for a pause.
+  awaitable<bool> watch();
+  /// Watches until a storm of changes or a break; returns true for a storm.
+  awaitable<bool> followWatches();
+  /// Waits longer after each failure in a row.
+  awaitable<void> backOff();
   void noteContact(bool Reached, std::string_view Why);
 
   config_store &Store;
   std::string Prefix;
   feed_listener &Listener;
+  milliseconds Gather;
   store_revision Revision;
+  store_revision NewestEntry; ///< of the last listing
   microseconds Backoff{0};
   instant LastEvent;
   bool Pausing = false;
