--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -90,9 +90,10 @@
                          const std::string &Method) const {
   if (!State.view())
     return own_answer::not_ready;
-  if (!State.view()->Config->match(Host, pathOf(Target), Method))
-    return own_answer::no_route;
-  return std::nullopt;
+  if (State.view()->Config->match(Host, pathOf(Target), Method))
+    return std::nullopt;
+  // The route may be in a configuration that is still on its way.
+  return MayBeBehind() ? own_answer::not_ready : own_answer::no_route;
 }
 
 instant entry_router::firstAttempt(const route_rule &Route,
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -43,6 +43,8 @@
                const call_dialect &Dialect, mesh_state &State,
                home_runner &Home, peer_hub &Hub, mesh_metrics &Metrics);
 
+  /// Sets how to tell whether this node may lack the newest configuration.
+  void askWhetherBehind(std::function<bool()> Ask) { MayBeBehind = Ask; }
   /// Returns why a call can't be taken at all, before its body is read.
   std::optional<own_answer> checkRoute(const std::string &Host,
                                        const std::string &Target,
@@ -118,6 +120,7 @@
   std::unordered_map<route_name, milliseconds> FullPatience;
   token_bucket PlainLines; ///< log lines of calls that went as they should
   std::uint64_t OmittedLines = 0;
+  std::function<bool()> MayBeBehind = [] { return false; };
   std::size_t OpenCalls = 0;
   bool Closed = false;
 };
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds AskInterval{300};
 /// Nodes whose entries vanished are asked so often whether they live.
 constexpr milliseconds DoubtfulPingInterval{500};
+/// The settings may change without a signal.
+constexpr milliseconds SettingsCheckInterval{1'000};
 /// Callers leave a node within two missed questions, a second apart.
 constexpr milliseconds CallersLeave{2'800};
 /// The last part of the grace period is kept for the end itself.
@@ -97,6 +99,9 @@
                      }),
       SuspendedBefore(suspendedTime()) {
   State.onChange([this] { viewChanged(); });
+  Router.askWhetherBehind([this] {
+    return State.isBehind() || !OrderFeed.isCurrent(currentTime());
+  });
   State.onEvidence(
       [this](const evidence_report &Report) { Moves.takeEvidence(Report); });
 }
@@ -226,6 +231,11 @@
     for (const node_id &Node : State.directory().doubtful())
       Hub.ping(Node);
   }
+  if (Now >= SettingsCheckedAt + SettingsCheckInterval) {
+    SettingsCheckedAt = Now;
+    if (Parts.SettingsTouched())
+      reload("the file changed");
+  }
   Home.setDownstream(Router.downstream(Now));
   reportEvidence();
   Moves.tick(Now, Registrar.lease());
@@ -301,7 +311,6 @@
   Router.close();
   Workers.leave();
   Home.stop();
-  asio::co_spawn(Context, Registrar.withdraw(), asio::detached);
   instant QuietSince;
   while (currentTime() < Latest) {
     for (consumer_session *Session : OpenSessions)
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -19,6 +19,8 @@
   std::function<std::unique_ptr<config_store>(const address &)> OpenStore;
   /// Reads the settings anew; an error leaves the present ones in force.
   std::function<checked<mesh_settings>()> ReadSettings;
+  /// Returns whether the settings may have changed since the last call.
+  std::function<bool()> SettingsTouched;
 };
 
 /// One running node of a mesh. All duties that a call passes through run on
@@ -38,6 +40,7 @@
   void beginStop();
   const mesh_settings &settings() const { return Settings; }
   bool isReady() const;
+  config_number configNumber() const { return State.configNumber(); }
 
 private:
   using accept_handler = std::function<void(tcp::socket)>;
@@ -84,6 +87,7 @@
   evidence_by_route Reported;
   instant AskedAt;
   instant PingedAt;
+  instant SettingsCheckedAt;
   microseconds SuspendedBefore{0};
   stop_handler OnStopped;
   bool Stopping = false;
--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -164,6 +164,10 @@
   rebuild();
 }
 
+void mesh_state::heardOfConfig(config_number Number) {
+  NewestHeard = std::max(NewestHeard, Number);
+}
+
 void mesh_state::heardFrom(const node_id &Node) {
   Directory.heardFrom(Node, currentTime());
 }
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -51,7 +51,10 @@
   void takeConfig(config_number Number, const shared_body &Text) override;
   void takeEvidence(const evidence_report &Report) override;
   void takeMove(const service_move &Move) override;
+  void heardOfConfig(config_number Number) override;
   void heardFrom(const node_id &Node) override;
+  /// True if a newer configuration than this node's is known to exist.
+  bool isBehind() const { return NewestHeard > configNumber(); }
 
 private:
   void rebuild();
@@ -63,6 +66,7 @@
   home_record Own;
   snapshot_ptr Config;
   shared_body ConfigText;
+  config_number NewestHeard;   ///< held by another node
   config_number RefusedConfig; ///< the newest that could not be compiled
   home_directory Directory;
   service_moves Moves;
--- a/src/chivebeam/mesh/node_registrar.cpp
+++ b/src/chivebeam/mesh/node_registrar.cpp
@@ -103,7 +103,7 @@
 }
 
 awaitable<void> node_registrar::run() {
-  while (!Withdrawn) {
+  for (;;) {
     bool Leased = co_await ensureLease();
     if (Leased && Dirty)
       co_await write();
@@ -135,11 +135,4 @@
   co_return Stored.value_or(false);
 }
 
-awaitable<void> node_registrar::withdraw() {
-  Withdrawn = true;
-  Wake.cancel();
-  if (Lease.value() != 0)
-    co_await Store.revokeLease(Lease);
-}
-
 } // namespace chivebeam
--- a/src/chivebeam/mesh/node_registrar.h
+++ b/src/chivebeam/mesh/node_registrar.h
@@ -26,8 +26,6 @@
   /// Writes that the backend server leaves, so that the next process beside it
   /// knows. Waits a bounded time; returns whether the store has it.
   awaitable<bool> persistLeaving(const home_record &Record);
-  /// Ends the lease, and with it the record.
-  awaitable<void> withdraw();
   /// The present lease; zero if there is none.
   lease_id lease() const { return Lease; }
 
@@ -44,7 +42,6 @@
   instant KeptAt;
   home_record Wanted;
   bool Dirty = true;
-  bool Withdrawn = false;
   bool Writing = false;
   store_revision Revision; ///< of this node's key; zero: it does not exist
 };
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -58,6 +58,7 @@
     failPending("its home node can't be reached");
     co_return;
   }
+  log_event("peer_link_open").add("peer", Node).add("address", Peer.text());
   Backoff = microseconds(0);
   PingOpen = false;
   tuneNodeSocket(*Socket);
--- a/src/chivebeam/mesh/store_feed.cpp
+++ b/src/chivebeam/mesh/store_feed.cpp
@@ -37,6 +37,10 @@
 
 void store_feed::refresh() { Store.cancelWatch(); }
 
+bool store_feed::isCurrent(instant Now) const {
+  return InTouch && (WatchOpen || Now < ListedAt + StormPause * 2);
+}
+
 void store_feed::noteContact(bool Reached, std::string_view Why) {
   if (Reached == InTouch && (Reached || LostAt != instant()))
     return;
@@ -58,6 +62,7 @@
   noteContact(true, "listed");
   Revision = Answer->Revision;
   EverListed = true;
+  ListedAt = currentTime();
   store_revision Newest;
   for (const store_entry &Entry : Answer->Entries)
     Newest = std::max(Newest, Entry.ModifiedAt);
@@ -70,6 +75,7 @@
 
 awaitable<bool> store_feed::watch() {
   bool Gathering = false;
+  WatchOpen = true;
   error Ended = co_await Store.watch(
       Prefix, Revision.next(),
       [this, &Gathering](store_revision At,
@@ -89,6 +95,7 @@
         if (Storm || Gathering)
           Store.cancelWatch();
       });
+  WatchOpen = false;
   if (Pausing || Gathering)
     co_return true;
   if (Ended.Kind == error_kind::not_found)
--- a/src/chivebeam/mesh/store_feed.h
+++ b/src/chivebeam/mesh/store_feed.h
@@ -33,6 +33,8 @@
   void refresh();
   /// True while the store answers this node.
   bool inTouch() const { return InTouch; }
+  /// False while changes may have come that this node has not read yet.
+  bool isCurrent(instant Now) const;
   /// When the store stopped answering; the present is within the outage if
   /// inTouch is false.
   instant lostAt() const { return LostAt; }
@@ -59,6 +61,8 @@
   instant LastEvent;
   bool Pausing = false;
   bool InTouch = false;
+  bool WatchOpen = false;
+  instant ListedAt;
   bool EverListed = false;
   instant LostAt;
 };
--- a/src/chivebeam/mesh/word_exchange.cpp
+++ b/src/chivebeam/mesh/word_exchange.cpp
@@ -39,6 +39,7 @@
     BehindSince = instant();
     return;
   }
+  Words.heardOfConfig(Frame.Config);
   instant Now = currentTime();
   if (BehindSince == instant())
     BehindSince = Now;
--- a/src/chivebeam/mesh/worker_desk.cpp
+++ b/src/chivebeam/mesh/worker_desk.cpp
@@ -79,6 +79,11 @@
   announce();
 }
 
+bool worker_desk::isKnownService(const service_name &Name) const {
+  // Before the first configuration, any service may turn out to be one.
+  return !State.view() || State.view()->Config->findService(Name);
+}
+
 awaitable<http_response> worker_desk::handle(const http_request &Request) {
   instant Now = currentTime();
   result<worker_word> Word = Dialect.read(Request, Now);
@@ -86,6 +91,14 @@
     log_event("report_refused").add("error", Word.error().text());
     co_return Dialect.reject(Word.error());
   }
+  if (!Word->Leaves && !isKnownService(Word->Report.Worker.Service)) {
+    error Unknown{error_kind::not_found, "/info/service",
+                  "no service \"" + Word->Report.Worker.Service.str() +
+                      "\" is configured",
+                  "correct the report, or add the service"};
+    log_event("report_refused").add("error", Unknown.text());
+    co_return Dialect.reject(Unknown);
+  }
   report_effect Effect = Word->Leaves
                              ? Reports.leave(Word->Worker, Word->BornMs)
                              : Reports.report(Word->Report, Now);
--- a/src/chivebeam/mesh/worker_desk.h
+++ b/src/chivebeam/mesh/worker_desk.h
@@ -23,11 +23,13 @@
   /// Takes over what the store holds from an earlier process of this node.
   void restore(const home_record &Stored);
   void restoreLeaving(const home_record &Stored);
-  /// The node itself is about to stop.
+  /// The node itself is about to stop. Its record stays until its lease ends:
+  /// the next process beside this backend server goes on from it.
   void leave();
 
 private:
   awaitable<http_response> handle(const http_request &Request);
+  bool isKnownService(const service_name &Name) const;
   /// Makes what was reported known everywhere.
   void announce();
 
--- a/tests/mesh/calls_test.cpp
+++ b/tests/mesh/calls_test.cpp
@@ -12,17 +12,62 @@
   return Answer ? Answer->result_int() : 0;
 }
 
+/// A mesh with an entry node whose own backend server plays no part, and
+/// Servers nodes beside servers of kassa.
+struct kassa_mesh : mesh_fixture {
+  explicit kassa_mesh(unsigned Servers, unsigned Slots = 4) {
+    configure(1, {"desk", "kassa"});
+    addNode("desk");
+    for (unsigned Index = 0; Index < Servers; ++Index)
+      addNode("kassa", "zone-a", Slots);
+  }
+  std::size_t received() {
+    std::size_t Sum = 0;
+    for (std::size_t Index = 1; Index <= servers(); ++Index)
+      Sum += worker(Index).Received.size();
+    return Sum;
+  }
+  std::size_t servers() { return size() - 1; }
+};
+
+using http_request_text = http::request<http::string_body>;
+
+/// Answers with these bytes, in which @ID stands for the request's id.
+worker_script raw(std::string Bytes, bool Close) {
+  worker_script Script;
+  Script.Answer = [Bytes,
+                   Close](tcp::socket &Socket,
+                          const http_request_text &Request) -> awaitable<void> {
+    std::string Text = Bytes;
+    std::string Id(Request["Request-Id"]);
+    for (std::size_t At = Text.find("@ID"); At != std::string::npos;
+         At = Text.find("@ID"))
+      Text.replace(At, 3, Id);
+    co_await write(Socket, Text);
+    if (Close)
+      Socket.close();
+  };
+  return Script;
+}
+
+std::string whole(std::string Id, std::string Body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+         "\r\nResponse-Signature: s\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+const std::string NotExecuted =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "
+    "@ID\r\nContent-Length: 0\r\n\r\n";
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_call_reaches_a_backend_server_beside_another_node) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
+  kassa_mesh Mesh(1);
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     auto Answer =
-        co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r1", "mats"));
+        co_await Mesh.call(0, Mesh.post("/pay/kassa/1?q=2", "r1", "mats"));
     BOOST_TEST(statusOf(Answer) == 200u);
     BOOST_TEST(Answer->body() == "w-1:mats");
     BOOST_TEST((*Answer)["Response-Signature"] == "signed");
@@ -31,6 +76,208 @@
     BOOST_TEST(Received[0]["Expected-Instance"] == "w-1");
     BOOST_TEST(Received[0]["Caller-Service"] == "desk");
     BOOST_TEST(Received[0]["Request-Id"] == "r1");
-    BOOST_TEST(Received[0].target() == "/pay/kassa/1");
+    BOOST_TEST(Received[0].target() == "/pay/kassa/1?q=2");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_call_without_a_route_gets_404_and_reaches_nobody) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    auto Answer = co_await Mesh.call(0, Mesh.get("/nowhere/", "r1"));
+    BOOST_TEST(statusOf(Answer) == 404u);
+    BOOST_TEST(Mesh.received() == 0u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_by_the_server_moves_the_call_on_or_is_told) {
+  kassa_mesh Mesh(2);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(1).Script = raw(NotExecuted, false);
+    Mesh.worker(2).Script = raw(NotExecuted, false);
+    auto Refused = co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r1", "x"));
+    BOOST_TEST(statusOf(Refused) == 503u);
+    BOOST_TEST(!(*Refused)["Retry-After"].empty());
+    BOOST_TEST(Mesh.received() == 2u);
+    Mesh.worker(1).Script = {};
+    Mesh.worker(2).Script = {};
+    auto Served = co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r2", "x"));
+    BOOST_TEST(statusOf(Served) == 200u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_payment_whose_answer_is_lost_is_never_sent_again) {
+  kassa_mesh Mesh(2);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    for (std::size_t Index : {1, 2})
+      Mesh.worker(Index).Script = raw("", true);
+    auto Answer = co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r1", "x"));
+    BOOST_TEST(statusOf(Answer) == 502u);
+    BOOST_TEST(Mesh.received() == 1u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_read_whose_answer_is_lost_is_sent_to_another_server) {
+  kassa_mesh Mesh(2);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    for (std::size_t Index : {1, 2})
+      Mesh.worker(Index).Script = raw("", true);
+    auto Failed = co_await Mesh.call(0, Mesh.get("/kassa/1", "r1"));
+    BOOST_TEST(statusOf(Failed) == 502u);
+    BOOST_TEST(Mesh.received() == 2u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_call_is_passed_over) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(1).Script =
+        raw(whole("other", "foreign") + whole("@ID", "own"), false);
+    auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/1", "r1"));
+    BOOST_TEST(statusOf(Answer) == 200u);
+    BOOST_TEST(Answer->body() == "own");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(bytes_after_an_answer_reach_no_caller) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(1).Script =
+        raw(whole("@ID", "first") + whole("@ID", "second") + "garbage", false);
+    for (std::string Id : {"r1", "r2"}) {
+      auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/1", Id));
+      BOOST_TEST(statusOf(Answer) == 200u);
+      BOOST_TEST(Answer->body() == "first");
+      BOOST_TEST((*Answer)["Request-Id"] == Id);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_or_garbled_never_looks_whole) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    std::string Cut = whole("@ID", "0123456789");
+    Cut.resize(Cut.size() - 4);
+    for (std::string Bytes : {Cut, std::string("not an answer\r\n\r\n")}) {
+      Mesh.worker(1).Script = raw(Bytes, true);
+      auto Answer = co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r1", "x"));
+      BOOST_TEST(statusOf(Answer) == 502u);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_with_its_connection_is_whole) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(1).Script = raw("HTTP/1.1 200 OK\r\nRequest-Id: "
+                                "@ID\r\nResponse-Signature: s\r\n\r\nall",
+                                true);
+    auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/1", "r1"));
+    BOOST_TEST(statusOf(Answer) == 200u);
+    BOOST_TEST(Answer->body() == "all");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_servers_own_failure_is_passed_on_as_it_is) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(1).Script =
+        raw("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: "
+            "@ID\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\noops",
+            false);
+    auto Answer = co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r1", "x"));
+    BOOST_TEST(statusOf(Answer) == 500u);
+    BOOST_TEST((*Answer)["Response-Signature"] == "s");
+    BOOST_TEST(Answer->body() == "oops");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(never_more_calls_run_than_the_server_has_slots) {
+  kassa_mesh Mesh(1, 2);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(1).Script.Work = milliseconds(30);
+    unsigned Ended = 0;
+    for (int Call = 0; Call < 12; ++Call)
+      asio::co_spawn(
+          Mesh.context(),
+          [](mesh_fixture &Mesh, unsigned &Ended, int Call) -> awaitable<void> {
+            co_await Mesh.call(
+                0, Mesh.get("/kassa/1", "r" + std::to_string(Call)));
+            ++Ended;
+          }(Mesh, Ended, Call),
+          asio::detached);
+    co_await Mesh.until([&] { return Ended == 12; });
+    BOOST_TEST(Mesh.worker(1).MostRunning <= 2u);
+    BOOST_TEST(Mesh.worker(1).MostRunning >= 1u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_read_is_broken_off_when_its_caller_leaves) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    bool BrokenOff = false;
+    Mesh.worker(1).Script.Answer =
+        [&](tcp::socket &Socket, const http_request_text &) -> awaitable<void> {
+      char Byte = 0;
+      error_code Code;
+      co_await Socket.async_read_some(asio::buffer(&Byte, 1), orError(Code));
+      BrokenOff = static_cast<bool>(Code);
+    };
+    caller Caller(Mesh.context());
+    co_await Caller.connect(Mesh.node(0).settings().Callers);
+    co_await Caller.send(Mesh.get("/kassa/1", "r1", 20'000));
+    co_await Mesh.until([&] { return Mesh.received() == 1; });
+    Caller.close();
+    co_await Mesh.until([&] { return BrokenOff; });
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_payment_ends_by_itself_when_its_caller_leaves) {
+  kassa_mesh Mesh(1);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    bool Written = false;
+    Mesh.worker(1).Script.Answer =
+        [&](tcp::socket &Socket,
+            const http_request_text &Request) -> awaitable<void> {
+      co_await sleepFor(milliseconds(150));
+      std::string Bytes = whole(std::string(Request["Request-Id"]), "paid");
+      error_code Code;
+      co_await asio::async_write(Socket, asio::buffer(Bytes), orError(Code));
+      Written = !Code;
+    };
+    caller Caller(Mesh.context());
+    co_await Caller.connect(Mesh.node(0).settings().Callers);
+    co_await Caller.send(Mesh.post("/pay/kassa/1", "r1", "x", 1'900));
+    co_await Mesh.until([&] { return Mesh.received() == 1; });
+    Caller.close();
+    co_await Mesh.until([&] { return Written; });
+    // Its connection is whole and carries the next call.
+    Mesh.worker(1).Script = {};
+    auto Next = co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r2", "x"));
+    BOOST_TEST(statusOf(Next) == 200u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_call_gets_its_final_answer_when_its_route_s_time_is_up) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"kassa"}, 0.2);
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(0).Script.Work = seconds(30);
+    auto Answer =
+        co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r1", "x", 20'000));
+    BOOST_TEST(statusOf(Answer) == 504u);
   });
 }
--- /dev/null
+++ b/tests/mesh/changes_test.cpp
@@ -0,0 +1,208 @@
+// A mesh while backend servers leave, nodes stop and the store is away.
+#include <boost/test/unit_test.hpp>
+
+#include "mesh_fixture.h"
+
+using namespace chivebeam;
+using namespace chivebeam::tests;
+
+namespace {
+
+unsigned statusOf(const std::optional<text_answer> &Answer) {
+  return Answer ? Answer->result_int() : 0;
+}
+
+bool serves(mesh_fixture &Mesh, std::size_t Node, std::uint64_t Config) {
+  return Mesh.node(Node).configNumber() == config_number(Config);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(nothing_is_passed_to_a_server_that_was_told_it_may_leave) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk", "kassa"});
+  Mesh.addNode("desk");
+  Mesh.addNode("kassa");
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    unsigned Acknowledged = co_await Mesh.leave(1);
+    BOOST_TEST(Acknowledged == 200u);
+    std::size_t Before = Mesh.worker(1).Received.size();
+    // A report that was delayed on its way does not bring it back.
+    co_await Mesh.report(1);
+    for (int Call = 0; Call < 10; ++Call) {
+      auto Answer = co_await Mesh.call(
+          0, Mesh.post("/pay/kassa/1", "r" + std::to_string(Call), "x"));
+      BOOST_TEST(statusOf(Answer) == 200u);
+    }
+    BOOST_TEST(Mesh.worker(1).Received.size() == Before);
+    BOOST_TEST(Mesh.store().has("chivebeam/leaving/node-1"));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(the_next_process_beside_a_leaving_server_knows_of_it) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"kassa"});
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await Mesh.leave(0);
+    co_await Mesh.replaceNode(0);
+    co_await Mesh.report(0);
+    auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/1", "r1"));
+    BOOST_TEST(statusOf(Answer) == 503u);
+    BOOST_TEST(Mesh.worker(0).Received.empty());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_new_process_takes_over_a_living_server_at_once) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"kassa"});
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await Mesh.replaceNode(0);
+    co_await Mesh.pause(milliseconds(300));
+    auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/1", "r1"));
+    BOOST_TEST(statusOf(Answer) == 200u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_configuration_is_in_force_everywhere_and_stays) {
+  mesh_fixture Mesh;
+  Mesh.configure(5, {"desk"});
+  Mesh.addNode("desk");
+  Mesh.addNode("desk");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.configure(9, {"desk", "kassa"});
+    co_await Mesh.until(
+        [&] { return serves(Mesh, 0, 9) && serves(Mesh, 1, 9); });
+    Mesh.configure(7, {"desk"});
+    Mesh.store().put("op/config", "{not json");
+    Mesh.store().put("op/config", R"({"version": 12, "services": [],
+      "virtualHosts": [{"host": "h", "paths": [{"name": "r"}]}]})");
+    co_await Mesh.pause(milliseconds(300));
+    BOOST_TEST(serves(Mesh, 0, 9));
+    BOOST_TEST(serves(Mesh, 1, 9));
+    Mesh.configure(13, {"desk"});
+    co_await Mesh.until(
+        [&] { return serves(Mesh, 0, 13) && serves(Mesh, 1, 13); });
+  });
+}
+
+BOOST_AUTO_TEST_CASE(calls_go_on_while_the_store_is_away_and_leases_lapse) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk", "kassa"});
+  Mesh.addNode("desk");
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await Mesh.call(0, Mesh.get("/kassa/1", "r0"));
+    Mesh.store().Switches.Down = true;
+    Mesh.store().lapseLeases();
+    auto Away = co_await Mesh.call(0, Mesh.get("/kassa/1", "r1"));
+    BOOST_TEST(statusOf(Away) == 200u);
+    Mesh.store().Switches.Down = false;
+    co_await Mesh.until(
+        [&] { return Mesh.store().has("chivebeam/home/node-1"); });
+    auto Back = co_await Mesh.call(0, Mesh.get("/kassa/1", "r2"));
+    BOOST_TEST(statusOf(Back) == 200u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_history_that_is_gone_is_read_anew) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk"});
+  Mesh.addNode("desk");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.store().Switches.Compacted = true;
+    Mesh.configure(2, {"desk"});
+    co_await Mesh.until([&] { return serves(Mesh, 0, 2); });
+    Mesh.configure(3, {"desk"});
+    co_await Mesh.until([&] { return serves(Mesh, 0, 3); });
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_write_whose_answer_is_lost_is_read_back) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk"});
+  Mesh.store().Switches.LoseWrites = true;
+  Mesh.addNode("desk");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.report(0);
+    co_await Mesh.until(
+        [&] { return Mesh.store().has("chivebeam/home/node-0"); });
+    Mesh.store().Switches.LoseWrites = false;
+    co_await Mesh.until([&] {
+      return Mesh.store().value("chivebeam/home/node-0").find("\"state\":1") !=
+             std::string::npos;
+    });
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_node_serves_on_and_then_ends) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk", "kassa"});
+  Mesh.addNode("desk");
+  Mesh.addNode("kassa");
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.node(1).beginStop();
+    BOOST_TEST(!Mesh.node(1).isReady());
+    auto Through = co_await Mesh.call(1, Mesh.get("/desk/1", "r1"));
+    BOOST_TEST(statusOf(Through) == 200u);
+    BOOST_TEST((*Through)["Connection"] == "close");
+    co_await Mesh.until([&] { return Mesh.stopped(1); });
+    for (int Call = 0; Call < 4; ++Call) {
+      auto Answer = co_await Mesh.call(
+          0, Mesh.post("/pay/kassa/1", "p" + std::to_string(Call), "x"));
+      BOOST_TEST(statusOf(Answer) == 200u);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_report_that_makes_no_sense_changes_nothing) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"kassa"});
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    Mesh.worker(0).Service = "nobody";
+    unsigned Unknown = co_await Mesh.report(0);
+    BOOST_TEST(Unknown == 400u);
+    Mesh.worker(0).Service = "kassa";
+    unsigned Strange = co_await Mesh.report(0, "melting");
+    BOOST_TEST(Strange == 400u);
+    auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/1", "r1"));
+    BOOST_TEST(statusOf(Answer) == 200u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_ordered_version_gets_nothing_before_its_move_begins) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk", "kassa"});
+  Mesh.addNode("desk");
+  Mesh.addNode("kassa");
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    Mesh.store().put(
+        "op/rollout/kassa",
+        R"({"service": "kassa", "targetVersion": "v2", "durationS": 14})");
+    Mesh.worker(2).Version = "v2";
+    co_await Mesh.ready();
+    co_await Mesh.until([&] {
+      return Mesh.store().value("status/rollout/kassa").find("running") !=
+             std::string::npos;
+    });
+    for (int Call = 0; Call < 10; ++Call) {
+      auto Answer = co_await Mesh.call(
+          0, Mesh.get("/kassa/1", "r" + std::to_string(Call)));
+      BOOST_TEST(statusOf(Answer) == 200u);
+    }
+    BOOST_TEST(Mesh.worker(2).Received.empty());
+  });
+}
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -27,6 +27,7 @@
   Parts.ReadSettings = []() -> checked<mesh_settings> {
     return tl::unexpected(error_list{error{}});
   };
+  Parts.SettingsTouched = [] { return false; };
   return Parts;
 }
 
@@ -108,12 +109,30 @@
   Settings.Store = StoreAddress;
   Settings.Repeats.Slack = 100;
   Stopped.push_back(false);
-  Nodes.push_back(
-      std::make_unique<mesh_node>(*Context, std::move(Settings), parts()));
+  Nodes.emplace_back();
+  startNode(Index, std::move(Settings));
+  return Index;
+}
+
+void mesh_fixture::startNode(std::size_t Index, mesh_settings Settings) {
+  if (Nodes[Index])
+    keepForever(std::move(Nodes[Index]));
+  Nodes[Index] =
+      std::make_unique<mesh_node>(*Context, std::move(Settings), parts());
   result<void> Started =
-      Nodes.back()->start([this, Index] { Stopped[Index] = true; });
+      Nodes[Index]->start([this, Index] { Stopped[Index] = true; });
   BOOST_REQUIRE(Started);
-  return Index;
+}
+
+awaitable<void> mesh_fixture::replaceNode(std::size_t Index) {
+  mesh_settings Settings = Nodes[Index]->settings();
+  Nodes[Index]->beginStop();
+  co_await until([&] { return stopped(Index); });
+  for (address *Where : {&Settings.Callers, &Settings.Readiness,
+                         &Settings.WorkerReports, &Settings.Peers})
+    Where->Port = 0;
+  startNode(Index, std::move(Settings));
+  co_await until([&] { return Nodes[Index]->isReady(); });
 }
 
 void mesh_fixture::configure(std::uint64_t Number,
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -39,6 +39,10 @@
   /// Adds a node with a backend server beside it; returns its index.
   std::size_t addNode(std::string Service, std::string Domain = "zone-a",
                       unsigned Slots = 4);
+  /// Stops a node and starts another process in its place.
+  awaitable<void> replaceNode(std::size_t Index);
+  std::size_t size() const { return Nodes.size(); }
+  bool stopped(std::size_t Index) const { return Stopped[Index]; }
   mesh_node &node(std::size_t Index) { return *Nodes[Index]; }
   mesh_worker &worker(std::size_t Index) { return *Workers[Index]; }
   stand_ins::platform_store &store() { return *Store; }
@@ -68,6 +72,7 @@
   awaitable<void> pause(milliseconds Time) { return sleepFor(Time); }
 
 private:
+  void startNode(std::size_t Index, mesh_settings Settings);
   scripted_worker::script serverOf(mesh_worker &Worker);
 
   std::unique_ptr<asio::io_context> Context;
