Start moves: a version without calls reports; all that is not the new version is the old one

Cause: nodes beside the new version sent no evidence before their first call, and the conductor waits for reports before the first step, so every move ended as too near.

--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds AskInterval{300};
 /// Nodes whose entries vanished are asked so often whether they live.
 constexpr milliseconds DoubtfulPingInterval{500};
+/// Evidence on a move is sent when it changed, and at least so often; older
+/// reports would not count as fresh.
+constexpr milliseconds IdleReportInterval{400};
 /// The settings may change without a signal.
 constexpr milliseconds SettingsCheckInterval{1'000};
 /// Callers leave a node within two missed questions, a second apart.
@@ -237,7 +240,7 @@
       reload("the file changed");
   }
   Home.setDownstream(Router.downstream(Now));
-  reportEvidence();
+  reportEvidence(Now);
   Moves.tick(Now, Registrar.lease());
 }
 
@@ -252,10 +255,12 @@
   MeshFeed.refresh();
 }
 
-void mesh_node::reportEvidence() {
-  if (Home.evidence() == Reported)
+void mesh_node::reportEvidence(instant Now) {
+  // A version without calls reports, too: its node shows that it is there.
+  if (Home.evidence() == Reported && Now < ReportedAt + IdleReportInterval)
     return;
   Reported = Home.evidence();
+  ReportedAt = Now;
   const worker_record Own = State.ownRecord().Worker;
   Moves.report(Own.Service, Own.Version, Reported);
 }
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -52,7 +52,7 @@
   awaitable<void> ticks();
   void tick(instant Now);
   void followSuspension();
-  void reportEvidence();
+  void reportEvidence(instant Now);
   void viewChanged();
   void awaitSignal();
   void reload(std::string_view Why);
@@ -85,6 +85,7 @@
   http_service MetricsService;
   std::set<consumer_session *> OpenSessions;
   evidence_by_route Reported;
+  instant ReportedAt;
   instant AskedAt;
   instant PingedAt;
   instant SettingsCheckedAt;
--- a/src/libchivebeam/moves/order_conductor.cpp
+++ b/src/libchivebeam/moves/order_conductor.cpp
@@ -26,7 +26,7 @@
     if (Home.Worker.Version == Rule.To) {
       ++Count.New;
       Count.NewSlots += Home.Worker.Slots;
-    } else if (Home.Worker.Version == Rule.From) {
+    } else {
       ++Count.Old;
     }
   }
@@ -71,8 +71,15 @@
 
 void order_conductor::offerEvidence(const evidence_report &Report,
                                     instant Now) {
-  if (auto Found = Watched.find(Report.Service); Found != Watched.end())
-    Found->second.Tracker.offer(Report, Now);
+  auto Found = Watched.find(Report.Service);
+  if (Found == Watched.end())
+    return;
+  // Whatever is not the new version counts as the old one: which that is may
+  // not have been known when the order came.
+  evidence_report Ours = Report;
+  if (Ours.Version != Found->second.To)
+    Ours.Version = Found->second.From;
+  Found->second.Tracker.offer(Ours, Now);
 }
 
 std::optional<move_progress>
@@ -80,7 +87,7 @@
                         const std::vector<home_record> &Homes, instant Now) {
   watched_move &Watch = Watched[Move.Rule.Service];
   if (Watch.Id != Move.Rule.Id)
-    Watch = {Move.Rule.Id, evidence_tracker()};
+    Watch = {Move.Rule.Id, Move.Rule.From, Move.Rule.To, evidence_tracker()};
   move_progress Before = Move.Progress;
   // Another conductor's clock may have been ahead of this one.
   Before.StepSince = std::min(Before.StepSince, Now);
--- a/src/libchivebeam/moves/order_conductor.h
+++ b/src/libchivebeam/moves/order_conductor.h
@@ -37,6 +37,8 @@
 private:
   struct watched_move {
     move_id Id;
+    version_name From;
+    version_name To;
     evidence_tracker Tracker;
   };
 
--- a/tests/mesh/changes_test.cpp
+++ b/tests/mesh/changes_test.cpp
@@ -202,6 +202,75 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(a_good_version_is_moved_to_by_its_time) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk", "kassa"});
+  Mesh.addNode("desk");
+  Mesh.addNode("kassa");
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    Mesh.worker(2).Version = "v2";
+    Mesh.store().put(
+        "op/rollout/kassa",
+        R"({"service": "kassa", "targetVersion": "v2", "durationS": 9})");
+    co_await Mesh.ready();
+    auto Status = [&] { return Mesh.store().value("status/rollout/kassa"); };
+    auto IsOver = [&] {
+      return Status().find("completed") != std::string::npos ||
+             Status().find("rolled_back") != std::string::npos;
+    };
+    for (int Call = 0; Call < 3'000 && !IsOver(); ++Call) {
+      auto Answer = co_await Mesh.call(
+          0, Mesh.get("/kassa/1", "r" + std::to_string(Call)));
+      BOOST_TEST(statusOf(Answer) == 200u);
+      co_await Mesh.pause(milliseconds(5));
+    }
+    BOOST_TEST(Status().find("completed") != std::string::npos);
+    std::size_t Old = Mesh.worker(1).Received.size();
+    auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/1", "last"));
+    BOOST_TEST(Answer->body() == "w-2:");
+    BOOST_TEST(Mesh.worker(1).Received.size() == Old);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_version_is_taken_back) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"desk", "kassa"});
+  Mesh.addNode("desk");
+  Mesh.addNode("kassa");
+  Mesh.addNode("kassa");
+  Mesh.run([&]() -> awaitable<void> {
+    Mesh.worker(2).Version = "v2";
+    Mesh.worker(2).Script.Answer =
+        [](tcp::socket &Socket,
+           const http::request<http::string_body> &Request) -> awaitable<void> {
+      text_answer Answer(http::status::internal_server_error, 11);
+      Answer.set("Request-Id", Request["Request-Id"]);
+      Answer.prepare_payload();
+      error_code Code;
+      co_await http::async_write(Socket, Answer, orError(Code));
+    };
+    Mesh.store().put(
+        "op/rollout/kassa",
+        R"({"service": "kassa", "targetVersion": "v2", "durationS": 9})");
+    co_await Mesh.ready();
+    auto IsTakenBack = [&] {
+      return Mesh.store().value("status/rollout/kassa").find("rolled_back") !=
+             std::string::npos;
+    };
+    int Call = 0;
+    for (; Call < 3'000 && !IsTakenBack(); ++Call) {
+      co_await Mesh.call(0, Mesh.get("/kassa/1", "r" + std::to_string(Call)));
+      co_await Mesh.pause(milliseconds(5));
+    }
+    BOOST_TEST(IsTakenBack());
+    // Under a tenth of the calls until the verdict.
+    BOOST_TEST(Mesh.worker(2).Received.size() * 10 <
+               static_cast<std::size_t>(Call));
+    BOOST_TEST(!Mesh.worker(2).Received.empty());
+  });
+}
+
 BOOST_AUTO_TEST_CASE(an_ordered_version_gets_nothing_before_its_move_begins) {
   mesh_fixture Mesh;
   Mesh.configure(1, {"desk", "kassa"});
