Keep a late report from reviving a server whose leaving named no start

Cause: a restarted node's first word was a DELETE without the start, and a report sent before it arrived 2.2 s later and was taken for a new start.

--- a/src/chivebeam/mesh/worker_desk.cpp
+++ b/src/chivebeam/mesh/worker_desk.cpp
@@ -68,7 +68,7 @@
   if (Known && (Known->Start != Stored.Start ||
                 Known->Worker.State == worker_state::leaving))
     return;
-  Reports.restoreLeaving(Stored.Start, Stored.Report);
+  Reports.restoreLeaving(Stored.Start, Stored.Report, currentTime());
   log_event("worker_restored")
       .add("worker", Stored.Start.Worker)
       .add("state", "leaving");
@@ -101,7 +101,7 @@
     co_return Dialect.reject(Unknown);
   }
   report_effect Effect = Word->Leaves
-                             ? Reports.leave(Word->Worker, Word->BornMs)
+                             ? Reports.leave(Word->Worker, Word->BornMs, Now)
                              : Reports.report(Word->Report, Now);
   if (Effect == report_effect::unchanged)
     co_return Dialect.acknowledge();
--- a/src/libchivebeam/membership/worker_reports.cpp
+++ b/src/libchivebeam/membership/worker_reports.cpp
@@ -9,6 +9,10 @@
 /// A backend server that has been silent for so many report intervals may be
 /// replaced by one whose clock says that it started earlier.
 constexpr int SilentIntervals = 3;
+/// A backend server numbers the reports of each start from here.
+constexpr std::uint64_t FirstSequence = 1;
+/// Reports may be some seconds late; after so long, one is of a new start.
+constexpr microseconds LongestDelay = seconds(10);
 
 bool saysTheSame(const worker_report &Left, const worker_report &Right) {
   return Left.Worker.Service == Right.Worker.Service &&
@@ -44,7 +48,21 @@
   return !Silent || !Again;
 }
 
+bool worker_reports::precedesLeaving(const worker_report &Report,
+                                     instant Now) const {
+  return Current && !StartKnown &&
+         Current->Start.Worker == Report.Start.Worker &&
+         Report.Sequence > FirstSequence && Now < LastReport + LongestDelay;
+}
+
 report_effect worker_reports::report(const worker_report &Report, instant Now) {
+  if (precedesLeaving(Report, Now)) {
+    // Now it is known which start has left.
+    Current->Start = Report.Start;
+    Current->Sequence = Report.Sequence;
+    StartKnown = true;
+    return report_effect::stale;
+  }
   if (Current && Current->Start == Report.Start) {
     if (Report.Sequence <= Current->Sequence ||
         (Current->Worker.State == worker_state::leaving &&
@@ -58,16 +76,18 @@
   if (Current && isLateReportOfAnother(Report, Now))
     return report_effect::stale;
   Current = Report;
+  StartKnown = true;
   LastReport = Now;
   Pretender.reset();
   return report_effect::started;
 }
 
 report_effect worker_reports::leave(const worker_id &Worker,
-                                    std::optional<std::int64_t> BornMs) {
+                                    std::optional<std::int64_t> BornMs,
+                                    instant Now) {
   if (!Current) {
     // Its earlier reports went to a process that is gone.
-    restoreLeaving({Worker, BornMs.value_or(0)}, 0);
+    restoreLeaving({Worker, BornMs.value_or(0)}, 0, Now);
     return report_effect::changed;
   }
   if (Current->Start.Worker != Worker ||
@@ -80,13 +100,15 @@
 }
 
 void worker_reports::restoreLeaving(const worker_start &Start,
-                                    std::uint64_t Sequence) {
+                                    std::uint64_t Sequence, instant Now) {
   if (Current && Current->Start.BornMs > Start.BornMs)
     return;
   if (!Current || Current->Start != Start) {
     Current.emplace();
     Current->Start = Start;
   }
+  StartKnown = Start.BornMs != 0;
+  LastReport = Now;
   Current->Sequence = std::max(Current->Sequence, Sequence);
   Current->Worker.State = worker_state::leaving;
 }
--- a/src/libchivebeam/membership/worker_reports.h
+++ b/src/libchivebeam/membership/worker_reports.h
@@ -36,18 +36,23 @@
   /// The backend server says that it leaves for good. BornMs is absent if the
   /// word does not name the start.
   report_effect leave(const worker_id &Worker,
-                      std::optional<std::int64_t> BornMs);
+                      std::optional<std::int64_t> BornMs, instant Now);
   /// Takes over what an earlier process beside this backend server knew.
-  void restoreLeaving(const worker_start &Start, std::uint64_t Sequence);
+  void restoreLeaving(const worker_start &Start, std::uint64_t Sequence,
+                      instant Now);
 
   /// Returns the newest report; empty before the first.
   const std::optional<worker_report> &current() const { return Current; }
 
 private:
+  /// True for a report that was sent before its backend server said that it
+  /// leaves, when that word did not name the start.
+  bool precedesLeaving(const worker_report &Report, instant Now) const;
   bool isLateReportOfAnother(const worker_report &Report, instant Now);
 
   microseconds Interval;
   std::optional<worker_report> Current;
+  bool StartKnown = true; ///< false after a word of leaving without a start
   instant LastReport;
   /// A start that claims to be older than the current one, while that one is
   /// silent; believed at its second report.
--- a/tests/membership/home_records_test.cpp
+++ b/tests/membership/home_records_test.cpp
@@ -39,7 +39,7 @@
 BOOST_AUTO_TEST_CASE(a_late_report_never_revives_a_leaving_server) {
   worker_reports Reports(Interval);
   Reports.report(report("w", 10, 5), Start);
-  Reports.leave(worker_id("w"), 10);
+  Reports.leave(worker_id("w"), 10, Start);
   BOOST_TEST(isStale(Reports.report(report("w", 10, 4), Start)));
   BOOST_TEST(isStale(Reports.report(report("w", 10, 6), Start)));
   BOOST_TEST((Reports.current()->Worker.State == worker_state::leaving));
@@ -48,7 +48,7 @@
 BOOST_AUTO_TEST_CASE(a_new_start_under_the_same_name_counts_anew) {
   worker_reports Reports(Interval);
   Reports.report(report("w", 10, 50), Start);
-  Reports.leave(worker_id("w"), 10);
+  Reports.leave(worker_id("w"), 10, Start);
   BOOST_TEST(
       (Reports.report(report("w", 20, 1), Start) == report_effect::started));
   BOOST_TEST((Reports.current()->Worker.State == worker_state::ready));
@@ -68,7 +68,7 @@
 
 BOOST_AUTO_TEST_CASE(a_leaving_server_is_remembered_by_the_next_process) {
   worker_reports Reports(Interval);
-  Reports.restoreLeaving({worker_id("w"), 10}, 5);
+  Reports.restoreLeaving({worker_id("w"), 10}, 5, Start);
   BOOST_TEST(isStale(Reports.report(report("w", 10, 6), Start)));
   BOOST_TEST(
       (Reports.report(report("w2", 30, 1), Start) == report_effect::started));
@@ -76,10 +76,27 @@
 
 BOOST_AUTO_TEST_CASE(a_word_of_leaving_before_any_report_is_kept) {
   worker_reports Reports(Interval);
-  BOOST_TEST((Reports.leave(worker_id("w"), 10) == report_effect::changed));
+  BOOST_TEST(
+      (Reports.leave(worker_id("w"), 10, Start) == report_effect::changed));
   BOOST_TEST(isStale(Reports.report(report("w", 10, 6), Start)));
 }
 
+BOOST_AUTO_TEST_CASE(a_report_from_before_an_unnamed_leaving_is_late) {
+  worker_reports Reports(Interval);
+  Reports.leave(worker_id("w"), std::nullopt, Start);
+  BOOST_TEST(isStale(Reports.report(report("w", 10, 20), Start + seconds(2))));
+  BOOST_TEST(isStale(Reports.report(report("w", 10, 21), Start + seconds(3))));
+  BOOST_TEST((Reports.report(report("w", 20, 1), Start + seconds(4)) ==
+              report_effect::started));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_start_after_an_unnamed_leaving_is_taken) {
+  worker_reports Reports(Interval);
+  Reports.leave(worker_id("w"), std::nullopt, Start);
+  BOOST_TEST((Reports.report(report("w", 20, 1), Start + seconds(1)) ==
+              report_effect::started));
+}
+
 BOOST_AUTO_TEST_CASE(the_newest_record_wins_in_whatever_order_they_come) {
   home_directory Directory;
   BOOST_TEST(Directory.offer(record("n", 10, 5), false));
