--- a/src/chivebeam/mesh/consumer_session.cpp
+++ b/src/chivebeam/mesh/consumer_session.cpp
@@ -1,7 +1,3 @@
-// GCC 12 takes the inlined frame allocation of coroutines for another
-// allocator's.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 #include "mesh/consumer_session.h"
 
 #include "data/request_body.h"
--- a/src/chivebeam/mesh/worker_exchange.cpp
+++ b/src/chivebeam/mesh/worker_exchange.cpp
@@ -1,7 +1,3 @@
-// GCC 12 takes the inlined frame allocation of coroutines for another
-// allocator's.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 #include "mesh/worker_exchange.h"
 
 #include <charconv>
--- /dev/null
+++ b/tests/platform/kv_store_test.cpp
@@ -0,0 +1,145 @@
+// The client of the platform's store against a stand-in of it.
+#include <boost/test/unit_test.hpp>
+
+#include "platform/kv_store.h"
+#include "stand_ins/platform_store.h"
+
+using namespace chivebeam;
+using namespace chivebeam::platform;
+
+namespace {
+
+/// A client and the store that it speaks to, on one context.
+struct store_pair {
+  store_pair() : Server(Context), Client(Server.listen()) {}
+
+  void run(std::function<awaitable<void>()> Test) {
+    bool Ended = false;
+    asio::co_spawn(Context, Test(), [&](std::exception_ptr Failure) {
+      Ended = true;
+      Context.stop();
+      if (Failure)
+        std::rethrow_exception(Failure);
+    });
+    Context.run_for(seconds(30));
+    BOOST_TEST(Ended, "the test did not end");
+  }
+
+  asio::io_context Context{1};
+  stand_ins::platform_store Server;
+  kv_store Client;
+};
+
+store_transaction write(std::string Key, std::string Value,
+                        store_revision Expected, lease_id Lease = lease_id()) {
+  store_transaction Change;
+  Change.Conditions.push_back({Key, Expected});
+  Change.Puts.push_back({std::move(Key), std::move(Value), Lease});
+  return Change;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_is_written_under_a_condition_is_read_back) {
+  store_pair Pair;
+  Pair.run([&]() -> awaitable<void> {
+    std::string Bytes("a\0\xff value", 9);
+    auto Written =
+        co_await Pair.Client.commit(write("k/1 &?", Bytes, store_revision()));
+    BOOST_REQUIRE(Written);
+    BOOST_TEST(Written->Succeeded);
+    auto Read = co_await Pair.Client.range("k/1 &?", false);
+    BOOST_REQUIRE(Read);
+    BOOST_REQUIRE(Read->Entries.size() == 1u);
+    BOOST_TEST(Read->Entries[0].Value == Bytes);
+    BOOST_TEST((Read->Entries[0].ModifiedAt == Written->Revision));
+    auto Again =
+        co_await Pair.Client.commit(write("k/1 &?", "x", store_revision()));
+    BOOST_REQUIRE(Again);
+    BOOST_TEST(!Again->Succeeded);
+    auto None = co_await Pair.Client.range("k/none", false);
+    BOOST_REQUIRE(None);
+    BOOST_TEST(None->Entries.empty());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_key_goes_with_its_lease) {
+  store_pair Pair;
+  Pair.run([&]() -> awaitable<void> {
+    auto Lease = co_await Pair.Client.grantLease(seconds(5));
+    BOOST_REQUIRE(Lease);
+    auto Written =
+        co_await Pair.Client.commit(write("k", "v", store_revision(), *Lease));
+    BOOST_TEST(Written.has_value());
+    auto Kept = co_await Pair.Client.keepLease(*Lease);
+    BOOST_TEST(Kept.value_or(false));
+    auto Ended = co_await Pair.Client.revokeLease(*Lease);
+    BOOST_TEST(Ended.has_value());
+    BOOST_TEST(!Pair.Server.has("k"));
+    auto Lost = co_await Pair.Client.keepLease(*Lease);
+    BOOST_TEST(!Lost.value_or(true));
+    auto Late =
+        co_await Pair.Client.commit(write("k", "v", store_revision(), *Lease));
+    BOOST_REQUIRE(!Late);
+    BOOST_TEST((Late.error().Kind == error_kind::not_found));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_tells_changes_and_that_history_is_gone) {
+  store_pair Pair;
+  Pair.run([&]() -> awaitable<void> {
+    Pair.Server.put("w/1", "one");
+    auto Listed = co_await Pair.Client.range("w/", true);
+    BOOST_REQUIRE(Listed);
+    Pair.Server.put("w/2", "two");
+    Pair.Server.put("other", "x");
+    Pair.Server.remove("w/1");
+    std::vector<watch_event> Seen;
+    error Ended = co_await Pair.Client.watch(
+        "w/", Listed->Revision.next(),
+        [&](store_revision, const std::vector<watch_event> &Events) {
+          Seen.insert(Seen.end(), Events.begin(), Events.end());
+          Pair.Client.cancelWatch();
+        });
+    BOOST_REQUIRE(Seen.size() == 2u);
+    BOOST_TEST(Seen[0].Entry.Value == "two");
+    BOOST_TEST(Seen[1].Deleted);
+    BOOST_TEST(Seen[1].Entry.Key == "w/1");
+    Pair.Server.Switches.Compacted = true;
+    Ended = co_await Pair.Client.watch(
+        "w/", store_revision(1),
+        [](store_revision, const std::vector<watch_event> &) {});
+    BOOST_TEST((Ended.Kind == error_kind::not_found));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(refusals_took_no_effect_and_silence_may_have) {
+  store_pair Pair;
+  Pair.run([&]() -> awaitable<void> {
+    Pair.Server.Switches.Down = true;
+    auto Down = co_await Pair.Client.commit(write("k", "v", store_revision()));
+    BOOST_REQUIRE(!Down);
+    BOOST_TEST((Down.error().Kind == error_kind::unavailable));
+    Pair.Server.Switches.Down = false;
+    Pair.Server.Switches.LoseWrites = true;
+    auto Lost = co_await Pair.Client.commit(write("k", "v", store_revision()));
+    BOOST_REQUIRE(!Lost);
+    BOOST_TEST((Lost.error().Kind == error_kind::unknown_effect));
+    BOOST_TEST(Pair.Server.value("k") == "v");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(after_too_many_calls_none_is_made_for_a_while) {
+  store_pair Pair;
+  Pair.run([&]() -> awaitable<void> {
+    Pair.Server.Switches.TooMany = true;
+    auto Refused = co_await Pair.Client.range("k", false);
+    BOOST_TEST(!Refused);
+    unsigned Before = Pair.Server.Calls;
+    for (int Call = 0; Call < 5; ++Call) {
+      auto Held = co_await Pair.Client.range("k", false);
+      BOOST_TEST(!Held);
+    }
+    BOOST_TEST(Pair.Server.Calls == Before);
+  });
+}
