--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -160,6 +160,13 @@
   return {};
 }
 
+std::size_t mesh_node::knownServers() const {
+  std::size_t Count = 0;
+  for (const home_record &Record : State.knownRecords())
+    Count += takesCalls(Record) ? 1 : 0;
+  return Count;
+}
+
 bool mesh_node::isReady() const { return !Stopping && State.hasConfig(); }
 
 awaitable<void> mesh_node::acceptLoop(tcp::acceptor &Acceptor,
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -41,6 +41,8 @@
   const mesh_settings &settings() const { return Settings; }
   bool isReady() const;
   config_number configNumber() const { return State.configNumber(); }
+  /// Returns how many backend servers this node knows that take calls.
+  std::size_t knownServers() const;
 
 private:
   using accept_handler = std::function<void(tcp::socket)>;
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -218,6 +218,7 @@
     Out.__set_answer(toWire(*Frame.Answer));
   if (!Frame.Records.empty()) {
     std::vector<wire::home_record> Records;
+    Records.reserve(Frame.Records.size());
     for (const home_record &Record : Frame.Records)
       Records.push_back(toWire(Record, Now));
     Out.__set_records(Records);
--- a/src/libchivebeam/routing/weighted_splitter.cpp
+++ b/src/libchivebeam/routing/weighted_splitter.cpp
@@ -10,6 +10,7 @@
 
 std::vector<std::int64_t> weightsOf(const route_rule &Route) {
   std::vector<std::int64_t> Weights;
+  Weights.reserve(Route.Split.size());
   for (const weighted_service &Part : Route.Split)
     Weights.push_back(Part.Weight);
   return Weights;
