--- a/tests/mesh/calls_test.cpp
+++ b/tests/mesh/calls_test.cpp
@@ -164,7 +164,8 @@
     co_await Mesh.ready();
     std::string Cut = whole("@ID", "0123456789");
     Cut.resize(Cut.size() - 4);
-    for (std::string Bytes : {Cut, std::string("not an answer\r\n\r\n")}) {
+    for (const std::string &Bytes :
+         {Cut, std::string("not an answer\r\n\r\n")}) {
       Mesh.worker(1).Script = raw(Bytes, true);
       auto Answer = co_await Mesh.call(0, Mesh.post("/pay/kassa/1", "r1", "x"));
       BOOST_TEST(statusOf(Answer) == 502u);
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -216,8 +216,8 @@
   BOOST_TEST(Read->Store.text() == "10.200.1.7:8627");
   BOOST_TEST(Read->ReportInterval.count() == 1'500);
   BOOST_TEST(Read->Repeats.Slack == 58);
-  for (std::string Field : {"nodeName", "outbound", "gracePeriodS",
-                            "internalPortRange", "applicationAddress"}) {
+  for (const std::string Field : {"nodeName", "outbound", "gracePeriodS",
+                                  "internalPortRange", "applicationAddress"}) {
     checked<mesh_settings> Without =
         readSettingsFile(with(Settings, "\"" + Field, "\"x" + Field));
     BOOST_REQUIRE(!Without);
@@ -269,7 +269,8 @@
   result<home_record> Back = readHomeRecord(writeHomeRecord(Record, Now), Now);
   BOOST_REQUIRE(Back);
   BOOST_TEST((*Back == Record));
-  for (std::string Bad : {"", "[]", "{}", R"({"node": "n", "peer": "x"})",
-                          R"({"node": "n", "peer": "1.2.3.4:5", "state": 9})"})
+  for (const std::string Bad :
+       {"", "[]", "{}", R"({"node": "n", "peer": "x"})",
+        R"({"node": "n", "peer": "1.2.3.4:5", "state": 9})"})
     BOOST_TEST(!readHomeRecord(Bad, Now));
 }
