--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -22,6 +22,9 @@
 /// Wait times are spread by so much of themselves, in percent, so that callers
 /// who were refused together don't return together.
 constexpr int WaitSpreadPercent = 50;
+/// Home nodes that a call asks while it is run nowhere: after so many that had
+/// no room, the service is full, and asking on would cost more than it brings.
+constexpr unsigned MaxAsks = 10;
 /// Least time in which another attempt can end.
 constexpr milliseconds MinAttemptTime{10};
 /// Log lines a second, and at once, for calls that were served at the first
@@ -264,13 +267,7 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     observe(Entry, Endpoint, Answer, Now - Started, Now);
-    if (isArrival(Answer.Outcome)) {
-      ++Entry.History.Arrivals;
-      Entry.Call.Repeat = true;
-    }
-    Entry.View = State.view() ? State.view() : Entry.View;
-    Entry.History.OthersLeft = hasOthers(Entry);
-    Entry.History.TimeLeft = Now + MinAttemptTime < Entry.Call.Deadline;
+    noteAttempt(Entry, Answer, Now);
     next_step Step = decideNext(Answer.Outcome, Entry.History, [&] {
       return mayRepeat(Entry, Answer.Outcome, Now);
     });
@@ -286,6 +283,18 @@
   }
 }
 
+void entry_router::noteAttempt(entry_call &Entry, const mesh_answer &Answer,
+                               instant Now) {
+  if (isArrival(Answer.Outcome)) {
+    ++Entry.History.Arrivals;
+    Entry.Call.Repeat = true;
+  }
+  Entry.Asks += Answer.Unreachable ? 0 : 1;
+  Entry.View = State.view() ? State.view() : Entry.View;
+  Entry.History.OthersLeft = hasOthers(Entry) && Entry.Asks < MaxAsks;
+  Entry.History.TimeLeft = Now + MinAttemptTime < Entry.Call.Deadline;
+}
+
 awaitable<mesh_answer> entry_router::attempt(entry_call &Entry,
                                              endpoint Endpoint,
                                              cancel_signal Cancel) {
@@ -298,6 +307,7 @@
   });
   mesh_call Call = Entry.Call;
   Call.Worker = Endpoint.Worker;
+  Call.Usual = Picker.usualTime(Call.Route, Endpoint, Now);
   if (!Call.Nested)
     Call.Unasked = std::exchange(Unasked[{Call.Service, Call.Urgency}], 0);
   auto Reply = [Slot](mesh_answer Answer) { Slot.set(std::move(Answer)); };
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -74,6 +74,7 @@
     std::set<node_id> Tried;
     microseconds Wait{0};
     unsigned Attempts = 0;
+    unsigned Asks = 0; ///< of home nodes that could be reached
     instant ArrivedAt;
   };
 
@@ -89,6 +90,8 @@
   bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
   bool hasOthers(const entry_call &Entry) const;
+  /// Notes in the call's history what an attempt came to.
+  void noteAttempt(entry_call &Entry, const mesh_answer &Answer, instant Now);
   /// Ends a call that no home node is asked about (any more).
   entry_result refuseUnasked(entry_call &Entry, std::string Reason);
   void observe(const entry_call &Entry, const endpoint &Endpoint,
--- a/src/chivebeam/mesh/feed_listeners.cpp
+++ b/src/chivebeam/mesh/feed_listeners.cpp
@@ -33,7 +33,11 @@
   Desk.takeOrder(*Order, Entry.ModifiedAt);
 }
 
-void order_listener::listed(const std::vector<store_entry> &Entries) {
+void order_listener::listed(const range_answer &Listing) {
+  take(Listing.Entries);
+}
+
+void order_listener::take(const std::vector<store_entry> &Entries) {
   // Orders first: no call may go to a version before its move is known.
   for (const store_entry &Entry : Entries)
     if (Orders.isMoveOrder(Entry.Key))
@@ -46,7 +50,7 @@
 
 void order_listener::changed(const watch_event &Event) {
   if (!Event.Deleted)
-    listed({Event.Entry});
+    take({Event.Entry});
 }
 
 void mesh_listener::takeHome(const store_entry &Entry) {
@@ -80,19 +84,20 @@
   }
 }
 
-void mesh_listener::removed(const std::string &Key) {
+void mesh_listener::removed(const watch_event &Event) {
+  const std::string &Key = Event.Entry.Key;
   if (Key == mesh_keys::conductor())
     Desk.conductorVanished();
   else if (Key == mesh_keys::home(Settings.Node))
-    Registrar.noteStored(store_revision());
+    Registrar.noteMissing(Event.Entry.ModifiedAt);
   else if (isHome(Key))
     State.vanished(nodeOf(Key));
 }
 
-void mesh_listener::listed(const std::vector<store_entry> &Entries) {
+void mesh_listener::listed(const range_answer &Listing) {
   std::vector<node_id> Nodes;
   bool HasConductor = false;
-  for (const store_entry &Entry : Entries) {
+  for (const store_entry &Entry : Listing.Entries) {
     if (isHome(Entry.Key))
       Nodes.push_back(nodeOf(Entry.Key));
     HasConductor = HasConductor || Entry.Key == mesh_keys::conductor();
@@ -102,14 +107,14 @@
   bool OwnListed =
       std::find(Nodes.begin(), Nodes.end(), Settings.Node) != Nodes.end();
   if (!OwnListed)
-    Registrar.noteStored(store_revision());
+    Registrar.noteMissing(Listing.Revision);
   if (!HasConductor)
     Desk.conductorVanished();
 }
 
 void mesh_listener::changed(const watch_event &Event) {
   if (Event.Deleted)
-    removed(Event.Entry.Key);
+    removed(Event);
   else
     take(Event.Entry);
 }
--- a/src/chivebeam/mesh/feed_listeners.h
+++ b/src/chivebeam/mesh/feed_listeners.h
@@ -14,11 +14,12 @@
   order_listener(const order_source &Orders, mesh_state &State, move_desk &Desk)
       : Orders(Orders), State(State), Desk(Desk) {}
 
-  void listed(const std::vector<store_entry> &Entries) override;
+  void listed(const range_answer &Listing) override;
   void changed(const watch_event &Event) override;
 
 private:
   void takeOrder(const store_entry &Entry);
+  void take(const std::vector<store_entry> &Entries);
 
   const order_source &Orders;
   mesh_state &State;
@@ -35,13 +36,13 @@
       : Settings(Settings), State(State), Desk(Desk), Workers(Workers),
         Registrar(Registrar) {}
 
-  void listed(const std::vector<store_entry> &Entries) override;
+  void listed(const range_answer &Listing) override;
   void changed(const watch_event &Event) override;
 
 private:
   void take(const store_entry &Entry);
   void takeHome(const store_entry &Entry);
-  void removed(const std::string &Key);
+  void removed(const watch_event &Event);
 
   const mesh_settings &Settings;
   mesh_state &State;
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -28,8 +28,9 @@
 } // namespace
 
 home_runner::home_runner(asio::io_context &IoContext,
-                         const call_dialect &CallDialect)
-    : Context(IoContext), Dialect(CallDialect) {}
+                         const call_dialect &CallDialect,
+                         double LinkBytesPerSecond)
+    : Context(IoContext), Dialect(CallDialect), Bodies(LinkBytesPerSecond) {}
 
 void home_runner::follow(const worker_report &Report) {
   bool Another = !Worker || Worker->Start != Report.Start;
@@ -49,6 +50,10 @@
 void home_runner::stop() {
   Stopping = true;
   apply(Queue.setSlots(0));
+  for (auto &[Number, Decide] : std::exchange(Offered, {})) {
+    Bodies.ended(call_number(Number), currentTime());
+    Decide(refusal(MinWait, "this node stops"));
+  }
 }
 
 void home_runner::apply(const slot_change &Change) {
@@ -72,13 +77,7 @@
   Job->Call = std::move(Call);
   Job->Cancel = Cancel;
   Job->Reply = std::move(Reply);
-  const mesh_call &Asked = Job->Call;
-  Job->Slot = {call_number(++NextNumber),
-               Asked.Route,
-               Asked.Urgency,
-               Asked.Nested,
-               Asked.Goal,
-               Asked.Deadline};
+  Job->Slot = slotRequest(Job->Call);
   ++Active;
   asio::co_spawn(Context, serve(Job), asio::detached);
 }
@@ -89,11 +88,76 @@
   Job.Reply(std::move(Answer));
 }
 
-void home_runner::refuse(const job &Job, std::string Reason) {
+slot_request home_runner::slotRequest(const mesh_call &Call) {
+  return {call_number(++NextNumber),
+          Call.Route,
+          Call.Urgency,
+          Call.Nested,
+          Call.Goal,
+          Call.Deadline,
+          Call.Usual};
+}
+
+mesh_answer home_runner::refusal(microseconds Wait, std::string Reason) const {
   mesh_answer Answer = noAnswer(attempt_outcome::not_sent, std::move(Reason));
-  Answer.Wait = std::max<microseconds>(
-      Queue.excessWait(Job.Slot, currentTime()), MinWait);
-  finish(Job, std::move(Answer));
+  Answer.Wait = std::max<microseconds>(Wait, MinWait);
+  Answer.Load = load();
+  return Answer;
+}
+
+void home_runner::refuse(const job &Job, std::string Reason) {
+  finish(Job, refusal(Queue.excessWait(Job.Slot, currentTime()),
+                      std::move(Reason)));
+}
+
+call_number home_runner::offerBody(const mesh_call &Call,
+                                   body_decision Decide) {
+  instant Now = currentTime();
+  slot_request Slot = slotRequest(Call);
+  body_offer Offer{Slot.Call, Call.OfferedBytes, Call.Goal, Call.Deadline,
+                   Queue.expectedRun(Slot, Now)};
+  if (!isFor(Call))
+    Decide(refusal(MinWait, "another backend server is here, or none"));
+  else if (Now < UnreachableUntil)
+    Decide(refusal(MinWait, "the backend server can't be reached"));
+  else if (!Queue.wouldTake(Slot, Now))
+    Decide(refusal(Queue.excessWait(Slot, Now), "no slot would be free in time"));
+  else
+    decideOffer(Offer, std::move(Decide), Now);
+  return Slot.Call;
+}
+
+void home_runner::decideOffer(const body_offer &Offer, body_decision Decide,
+                              instant Now) {
+  switch (Bodies.offer(Offer, Now)) {
+  case gate_answer::send:
+    return Decide(std::nullopt);
+  case gate_answer::refuse:
+    return Decide(refusal(Bodies.excessWait(Offer, Now),
+                          "the link can't take its body in time"));
+  case gate_answer::wait:
+    Offered.emplace(Offer.Call.value(), std::move(Decide));
+  }
+}
+
+void home_runner::bodyEnded(call_number Offer) {
+  Offered.erase(Offer.value());
+  apply(Bodies.ended(Offer, currentTime()));
+}
+
+void home_runner::apply(const gate_change &Change) {
+  auto Tell = [&](const std::vector<call_number> &Calls, bool Wanted) {
+    for (call_number Call : Calls) {
+      auto Found = Offered.extract(Call.value());
+      if (!Found.empty())
+        Found.mapped()(Wanted
+                           ? std::nullopt
+                           : std::optional(refusal(
+                                 MinWait, "its body did not come in time")));
+    }
+  };
+  Tell(Change.Sent, true);
+  Tell(Change.Refused, false);
 }
 
 home_load home_runner::load() const {
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -9,6 +9,7 @@
 #include "mesh/one_shot.h"
 #include "mesh/worker_exchange.h"
 #include "moves/evidence.h"
+#include "routing/body_gate.h"
 #include "routing/slot_queue.h"
 
 namespace chivebeam {
@@ -19,9 +20,13 @@
 class home_runner {
 public:
   using reply = std::function<void(mesh_answer)>;
+  /// Told what becomes of an offered body: empty: it may be sent; otherwise the
+  /// answer to the call, which was not run.
+  using body_decision = std::function<void(std::optional<mesh_answer>)>;
 
   /// \pre Context and Dialect outlive the runner.
-  home_runner(asio::io_context &Context, const call_dialect &Dialect);
+  home_runner(asio::io_context &Context, const call_dialect &Dialect,
+              double LinkBytesPerSecond);
 
   /// Tells which backend server is beside this node and what it said last.
   void follow(const worker_report &Report);
@@ -32,6 +37,15 @@
   /// off; one that is not is left to end by itself once it was sent.
   void run(mesh_call Call, const cancel_signal &Cancel, reply Reply);
 
+  /// Decides, now or later, whether the body of a call may be sent here. Decide
+  /// is called once, unless bodyEnded is called first.
+  call_number offerBody(const mesh_call &Call, body_decision Decide);
+  /// The body has come, or its sender is gone.
+  void bodyEnded(call_number Offer);
+  /// Refuses bodies that can't come in time any more. Called several times a
+  /// second.
+  void tick(instant Now) { apply(Bodies.dropHopeless(Now)); }
+
   /// True if a call that runs now was sent to a backend server before.
   bool runsRepeat(const request_id &Id) const { return Repeats.contains(Id); }
   home_load load() const;
@@ -61,8 +75,12 @@
   bool isFor(const mesh_call &Call) const;
   void finish(const job &Job, mesh_answer Answer);
   void refuse(const job &Job, std::string Reason);
+  void decideOffer(const body_offer &Offer, body_decision Decide, instant Now);
+  slot_request slotRequest(const mesh_call &Call);
+  mesh_answer refusal(microseconds Wait, std::string Reason) const;
   void noteEnd(const job &Job, const mesh_answer &Answer, instant Now);
   void apply(const slot_change &Change);
+  void apply(const gate_change &Change);
 
   static constexpr microseconds FailureHalfLife{2'000'000};
 
@@ -71,6 +89,8 @@
   std::optional<worker_report> Worker;
   bool Stopping = false;
   slot_queue Queue;
+  body_gate Bodies;
+  std::unordered_map<std::uint64_t, body_decision> Offered;
   std::unordered_map<std::uint64_t, one_shot<bool>> Waiting;
   std::vector<std::shared_ptr<worker_connection>>
       Idle; ///< used last at the end
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -29,6 +29,10 @@
   unsigned Unasked = 0; ///< calls like it that were refused without asking
   bool Repeat = false;  ///< it, or the call it is made for, was sent before
   bool Nested = false; ///< a backend server makes it while it runs another call
+  microseconds Usual{0}; ///< such calls take so long elsewhere; zero: unknown
+  /// Size of a body that is sent once the home node wants it; zero: the body is
+  /// here.
+  std::uint64_t OfferedBytes = 0;
 };
 
 /// What became of one attempt at a backend server. A plain value.
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds TickInterval{100};
 /// Nodes tell each other of their changes at once; the store's word may wait.
 constexpr milliseconds MeshGather{1'500};
+/// An entry that vanishes or is missed by the nodes' own words is seen within
+/// this time and the age of a cheap listing.
+constexpr milliseconds MeshPoll{2'000};
 /// A node without the store asks its peers so often for what it lacks.
 constexpr milliseconds AskInterval{300};
 /// Nodes whose entries vanished are asked so often whether they live.
@@ -66,7 +69,8 @@
                      mesh_parts NodeParts)
     : Settings(std::move(NodeSettings)), Parts(std::move(NodeParts)),
       Context(IoContext), Signals(Context, SIGTERM, SIGINT, SIGHUP),
-      State(Settings, *Parts.Orders), Home(Context, *Parts.Calls),
+      State(Settings, *Parts.Orders),
+      Home(Context, *Parts.Calls, Settings.LinkBytesPerSecond),
       Hub(Context, State),
       Router(Context, Settings, *Parts.Calls, State, Home, Hub, Metrics),
       OrderStore(Parts.OpenStore(Settings.Store)),
@@ -78,8 +82,9 @@
       OrderListener(*Parts.Orders, State, Moves),
       MeshListener(Settings, State, Moves, Workers, Registrar),
       OrderFeed(*OrderStore, Parts.Orders->prefix(), OrderListener,
-                milliseconds(0)),
-      MeshFeed(*MeshStore, mesh_keys::prefix(), MeshListener, MeshGather),
+                feed_pace()),
+      MeshFeed(*MeshStore, mesh_keys::prefix(), MeshListener,
+               {MeshGather, MeshPoll, [this] { return Moves.anyOpen(); }}),
       Sessions{Router, *Parts.Calls, State, Metrics,
                body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
       CallerAcceptor(Context), PeerAcceptor(Context),
@@ -227,7 +232,9 @@
   followSuspension();
   State.tick(Now);
   Hub.tick(Now);
+  Home.tick(Now);
   bool CutOff = !OrderFeed.inTouch() || !MeshFeed.inTouch();
+  State.setCutOff(CutOff);
   if (CutOff && Now >= AskedAt + AskInterval) {
     AskedAt = Now;
     Hub.askAround();
--- a/src/chivebeam/mesh/mesh_settings.h
+++ b/src/chivebeam/mesh/mesh_settings.h
@@ -26,6 +26,7 @@
   arrival_limits Repeats;
   std::uint64_t MemoryBytes = 256 << 20; ///< of this process
   unsigned MaxDescriptors = 1'024;
+  double LinkBytesPerSecond = 0; ///< of this machine; zero: unknown
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -93,6 +93,9 @@
 void mesh_state::takeConfig(config_number Number, const shared_body &Text) {
   if (Config && Number <= Config->number() && Number.value() > 0)
     return;
+  // Each listing in a storm of changes brings the present one, too.
+  if (ConfigText && *ConfigText == *Text)
+    return;
   checked<snapshot_ptr> Compiled = Orders.compile(*Text);
   if (!Compiled) {
     if (RefusedConfig == Number && Number.value() > 0)
@@ -164,8 +167,8 @@
   rebuild();
 }
 
-void mesh_state::heardOfConfig(config_number Number) {
-  NewestHeard = std::max(NewestHeard, Number);
+bool mesh_state::heardOfConfig(config_number Number) {
+  return CatchUp.heard(Number, configNumber(), currentTime());
 }
 
 void mesh_state::heardFrom(const node_id &Node) {
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 
+#include "config/config_catch_up.h"
 #include "membership/home_directory.h"
 #include "mesh/mesh_settings.h"
 #include "mesh/order_source.h"
@@ -57,10 +58,12 @@
   void takeConfig(config_number Number, const shared_body &Text) override;
   void takeEvidence(const evidence_report &Report) override;
   void takeMove(const service_move &Move) override;
-  void heardOfConfig(config_number Number) override;
+  bool heardOfConfig(config_number Number) override;
   void heardFrom(const node_id &Node) override;
   /// True if a newer configuration than this node's is known to exist.
-  bool isBehind() const { return NewestHeard > configNumber(); }
+  bool isBehind() const { return CatchUp.isBehind(configNumber()); }
+  /// Notes whether the store answers this node.
+  void setCutOff(bool CutOff) { CatchUp.setCutOff(CutOff); }
 
 private:
   void rebuild();
@@ -72,7 +75,7 @@
   home_record Own;
   snapshot_ptr Config;
   shared_body ConfigText;
-  config_number NewestHeard;   ///< held by another node
+  config_catch_up CatchUp;
   config_number RefusedConfig; ///< the newest that could not be compiled
   home_directory Directory;
   service_moves Moves;
--- a/src/chivebeam/mesh/move_desk.h
+++ b/src/chivebeam/mesh/move_desk.h
@@ -27,6 +27,8 @@
   void takeConductor(const node_id &Node);
   void conductorVanished() { Conductor = node_id(); }
   void takeEvidence(const evidence_report &Report);
+  /// True if an order has no verdict yet.
+  bool anyOpen() const;
 
   /// Decides what is due. Called several times a second with the lease of this
   /// node.
@@ -49,7 +51,6 @@
   bool isConductor() const { return Conductor == Settings.Node; }
   /// True if the order has no verdict yet.
   bool isOpen(const ordered_move &Move) const;
-  bool anyOpen() const;
   awaitable<void> claim(lease_id Lease);
   void conduct(ordered_move &Move, instant Now);
   void spread(const service_move &Move);
--- a/src/chivebeam/mesh/node_registrar.cpp
+++ b/src/chivebeam/mesh/node_registrar.cpp
@@ -1,5 +1,7 @@
 #include "mesh/node_registrar.h"
 
+#include <algorithm>
+
 #include "mesh/one_shot.h"
 #include "net/clock.h"
 #include "telemetry/log_event.h"
@@ -30,14 +32,17 @@
 }
 
 void node_registrar::noteStored(store_revision Stored) {
-  if (Writing)
+  if (!Writing)
+    Revision = std::max(Revision, Stored);
+}
+
+void node_registrar::noteMissing(store_revision AsOf) {
+  // A listing may be older than the last write.
+  if (Writing || Revision.value() == 0 || AsOf < Revision)
     return;
-  bool Lost = Stored.value() == 0 && Revision.value() != 0;
-  Revision = Stored;
-  if (Lost) {
-    Dirty = true;
-    Wake.cancel();
-  }
+  Revision = store_revision();
+  Dirty = true;
+  Wake.cancel();
 }
 
 awaitable<bool> node_registrar::ensureLease() {
--- a/src/chivebeam/mesh/node_registrar.h
+++ b/src/chivebeam/mesh/node_registrar.h
@@ -21,8 +21,10 @@
   awaitable<void> run();
   /// Sets what is to be in the store; written soon.
   void publish(const home_record &Record);
-  /// Notes what the store holds under this node's key; zero: nothing.
-  void noteStored(store_revision Revision);
+  /// Notes what the store held under this node's key.
+  void noteStored(store_revision Stored);
+  /// Notes that the store held nothing there at the revision AsOf.
+  void noteMissing(store_revision AsOf);
   /// Writes that the backend server leaves, so that the next process beside it
   /// knows. Waits a bounded time; returns whether the store has it.
   awaitable<bool> persistLeaving(const home_record &Record);
--- a/src/chivebeam/mesh/peer_hub.cpp
+++ b/src/chivebeam/mesh/peer_hub.cpp
@@ -59,11 +59,15 @@
 }
 
 void peer_hub::askAround() {
-  std::size_t Count = std::min(AskedAtOnce, Links.size());
-  for (std::size_t Asked = 0; Asked < Count; ++Asked) {
+  // Their answers name the configuration that they hold, too.
+  std::size_t Asked = 0;
+  for (std::size_t Step = 0; Step < Links.size() && Asked < AskedAtOnce;
+       ++Step) {
     auto Position = Links.begin();
     std::advance(Position, NextAsked++ % Links.size());
-    Position->second->tell(frame(frame_kind::config_query));
+    if (!Position->second->isOpen())
+      continue;
+    ++Asked;
     Position->second->tell(frame(frame_kind::records_query));
   }
 }
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -10,6 +10,8 @@
 /// Many round trips between failure domains; a lost opening packet is not
 /// waited for.
 constexpr milliseconds ConnectTimeout{400};
+/// Calls wait so long for a link that is being opened, then go elsewhere.
+constexpr milliseconds OpenPatience{100};
 constexpr microseconds MinBackoff = milliseconds(100);
 constexpr microseconds MaxBackoff = milliseconds(800);
 /// With calls under way, a peer that was silent for PingAfter is asked for a
@@ -18,6 +20,9 @@
 constexpr milliseconds PingAfter{150};
 constexpr milliseconds SilenceLimit{600};
 constexpr milliseconds SendingLimit{2'000};
+/// Larger bodies are sent when the home node wants them: a round trip costs
+/// less than to send them in vain.
+constexpr std::size_t MaxUnofferedBody = 16 << 10;
 
 } // namespace
 
@@ -30,6 +35,7 @@
   if (Opening || Closed || isOpen())
     return;
   Opening = true;
+  OpeningSince = currentTime();
   asio::co_spawn(Context, connect(), asio::detached);
 }
 
@@ -77,13 +83,39 @@
 void peer_link::sendCall(std::uint64_t Number, pending_call &Waiting) {
   peer_frame Frame = Exchange.frame(frame_kind::call);
   Frame.Call = Number;
+  shared_body Body = Waiting.Call.Body;
+  Waiting.Offered = Body && Body->size() > MaxUnofferedBody;
+  Waiting.Sent = !Waiting.Offered;
   Frame.Request = std::move(Waiting.Call);
-  Waiting.Sent = true;
+  if (Waiting.Offered) {
+    Frame.Request->OfferedBytes = Body->size();
+    Frame.Request->Body = nullptr;
+    Waiting.Call.Body = std::move(Body);
+  }
+  Channel->send(Frame);
+}
+
+void peer_link::sendBody(std::uint64_t Number) {
+  auto Found = Pending.find(Number);
+  if (Found == Pending.end() || !Found->second.Offered || Found->second.Sent)
+    return; // cancelled meanwhile
+  peer_frame Frame = Exchange.frame(frame_kind::body);
+  Frame.Call = Number;
+  Frame.Body = std::move(Found->second.Call.Body);
+  Found->second.Sent = true;
   Channel->send(Frame);
 }
 
+bool peer_link::mayOpenSoon(instant Now) const {
+  if (isOpen())
+    return true;
+  if (Closed)
+    return false;
+  return Opening ? Now < OpeningSince + OpenPatience : Now >= RetryAt;
+}
+
 void peer_link::call(mesh_call Call, const cancel_signal &Cancel, reply Reply) {
-  if (!isOpen() && (Closed || (!Opening && currentTime() < RetryAt))) {
+  if (!mayOpenSoon(currentTime())) {
     mesh_answer Answer =
         noAnswer(attempt_outcome::not_sent, "its home node can't be reached");
     Answer.Unreachable = true;
@@ -110,7 +142,7 @@
   auto Found = Pending.find(Number);
   if (Found == Pending.end())
     return;
-  if (Found->second.Sent) {
+  if (Found->second.Sent || Found->second.Offered) {
     peer_frame Frame = Exchange.frame(frame_kind::cancel);
     Frame.Call = Number;
     tell(Frame);
@@ -136,7 +168,11 @@
 void peer_link::onFrame(peer_frame Frame) {
   PingOpen = false;
   Words.heardFrom(Node);
-  if (Exchange.take(Frame, *Channel) || Frame.Kind != frame_kind::answer)
+  if (Exchange.take(Frame, *Channel))
+    return;
+  if (Frame.Kind == frame_kind::body_wanted)
+    return sendBody(Frame.Call);
+  if (Frame.Kind != frame_kind::answer)
     return;
   auto Found = Pending.find(Frame.Call);
   if (Found == Pending.end())
@@ -169,6 +205,8 @@
 
 void peer_link::tick(instant Now) {
   if (!isOpen()) {
+    if (Opening && !mayOpenSoon(Now))
+      failPending("its home node does not take the connection");
     if (Now >= RetryAt)
       open();
     return;
--- a/src/chivebeam/mesh/peer_link.h
+++ b/src/chivebeam/mesh/peer_link.h
@@ -37,15 +37,19 @@
   struct pending_call {
     mesh_call Call; ///< emptied once it is sent
     reply Reply;
-    bool Sent = false;
+    bool Sent = false; ///< whole, its body included
+    bool Offered = false;
   };
 
   void open();
+  /// False if a call had better go elsewhere than wait for the link.
+  bool mayOpenSoon(instant Now) const;
   awaitable<void> connect();
   void onFrame(peer_frame Frame);
   void onClosed();
   void failPending(std::string_view Reason);
   void sendCall(std::uint64_t Number, pending_call &Pending);
+  void sendBody(std::uint64_t Number);
   void cancel(std::uint64_t Number);
 
   asio::io_context &Context;
@@ -57,6 +61,7 @@
   std::unordered_map<std::uint64_t, pending_call> Pending;
   std::uint64_t NextCall = 0;
   bool Opening = false;
+  instant OpeningSince;
   bool Closed = false;
   instant RetryAt;
   microseconds Backoff{0};
--- a/src/chivebeam/mesh/peer_session.cpp
+++ b/src/chivebeam/mesh/peer_session.cpp
@@ -22,29 +22,75 @@
     Words.heardFrom(Peer);
   if (Exchange.take(Frame, *Channel))
     return;
-  if (Frame.Kind == frame_kind::call) {
-    runCall(std::move(Frame));
-  } else if (Frame.Kind == frame_kind::cancel) {
-    if (auto Found = Calls.find(Frame.Call); Found != Calls.end())
-      Found->second.raise();
-  }
+  if (Frame.Kind == frame_kind::call && Frame.Request->OfferedBytes > 0)
+    takeOffer(Frame.Call, std::move(*Frame.Request));
+  else if (Frame.Kind == frame_kind::call)
+    runCall(Frame.Call, std::move(*Frame.Request));
+  else if (Frame.Kind == frame_kind::body)
+    takeBody(std::move(Frame));
+  else if (Frame.Kind == frame_kind::cancel)
+    cancel(Frame.Call);
 }
 
-void peer_session::runCall(peer_frame Frame) {
-  std::uint64_t Number = Frame.Call;
+void peer_session::takeOffer(std::uint64_t Number, mesh_call Call) {
+  offered_call &Offered = Offers[Number];
+  Offered.Call = std::move(Call);
+  std::weak_ptr<peer_session> Weak = weak_from_this();
+  call_number Offer = Home.offerBody(
+      Offered.Call, [Weak, Number](std::optional<mesh_answer> Refused) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (Refused) {
+          Self->Offers.erase(Number);
+          return Self->answer(Number, std::move(*Refused));
+        }
+        peer_frame Wanted = Self->Exchange.frame(frame_kind::body_wanted);
+        Wanted.Call = Number;
+        Self->Channel->send(Wanted);
+      });
+  if (auto Found = Offers.find(Number); Found != Offers.end())
+    Found->second.Offer = Offer;
+}
+
+void peer_session::takeBody(peer_frame Frame) {
+  auto Found = Offers.extract(Frame.Call);
+  if (Found.empty())
+    return; // refused or cancelled meanwhile
+  mesh_call Call = std::move(Found.mapped().Call);
+  Call.Body = std::move(Frame.Body);
+  Call.OfferedBytes = 0;
+  Home.bodyEnded(Found.mapped().Offer);
+  runCall(Frame.Call, std::move(Call));
+}
+
+void peer_session::cancel(std::uint64_t Number) {
+  if (auto Offered = Offers.extract(Number); !Offered.empty())
+    Home.bodyEnded(Offered.mapped().Offer);
+  else if (auto Found = Calls.find(Number); Found != Calls.end())
+    Found->second.raise();
+}
+
+void peer_session::answer(std::uint64_t Number, mesh_answer Answer) {
+  peer_frame Reply = Exchange.frame(frame_kind::answer);
+  Reply.Call = Number;
+  Reply.Answer = std::move(Answer);
+  Channel->send(Reply);
+}
+
+void peer_session::runCall(std::uint64_t Number, mesh_call Call) {
   cancel_signal Cancel;
   Calls[Number] = Cancel;
-  Home.run(std::move(*Frame.Request), Cancel,
+  Home.run(std::move(Call), Cancel,
            [Self = shared_from_this(), Number](mesh_answer Answer) {
              Self->Calls.erase(Number);
-             peer_frame Reply = Self->Exchange.frame(frame_kind::answer);
-             Reply.Call = Number;
-             Reply.Answer = std::move(Answer);
-             Self->Channel->send(Reply);
+             Self->answer(Number, std::move(Answer));
            });
 }
 
 void peer_session::onClosed() {
+  for (auto &[Number, Offered] : std::exchange(Offers, {}))
+    Home.bodyEnded(Offered.Offer);
   for (auto &[Number, Cancel] : std::exchange(Calls, {}))
     Cancel.raise();
 }
--- a/src/chivebeam/mesh/peer_session.h
+++ b/src/chivebeam/mesh/peer_session.h
@@ -20,13 +20,23 @@
 
 private:
   void onFrame(peer_frame Frame);
-  void runCall(peer_frame Frame);
+  void runCall(std::uint64_t Number, mesh_call Call);
+  void takeOffer(std::uint64_t Number, mesh_call Call);
+  void takeBody(peer_frame Frame);
+  void cancel(std::uint64_t Number);
+  void answer(std::uint64_t Number, mesh_answer Answer);
   void onClosed();
 
   home_runner &Home;
   word_exchange Exchange;
   std::shared_ptr<frame_channel> Channel;
   std::unordered_map<std::uint64_t, cancel_signal> Calls;
+  /// Calls whose bodies are not here yet.
+  struct offered_call {
+    mesh_call Call;
+    call_number Offer;
+  };
+  std::unordered_map<std::uint64_t, offered_call> Offers;
   node_id Peer; ///< who is at the other end, once it has greeted
   peer_words &Words;
 };
--- a/src/chivebeam/mesh/peer_words.h
+++ b/src/chivebeam/mesh/peer_words.h
@@ -26,8 +26,9 @@
   virtual void takeConfig(config_number Number, const shared_body &Text) = 0;
   virtual void takeEvidence(const evidence_report &Report) = 0;
   virtual void takeMove(const service_move &Move) = 0;
-  /// Another node holds a newer configuration.
-  virtual void heardOfConfig(config_number Number) = 0;
+  /// A peer holds the configuration with this number. Returns whether to ask
+  /// that peer for it.
+  virtual bool heardOfConfig(config_number Number) = 0;
   /// The node itself has answered.
   virtual void heardFrom(const node_id &Node) = 0;
 };
--- a/src/chivebeam/mesh/store_feed.cpp
+++ b/src/chivebeam/mesh/store_feed.cpp
@@ -14,8 +14,14 @@
 constexpr microseconds MaxBackoff = milliseconds(700);
 /// Changes that follow each other more closely make the feed pause.
 constexpr milliseconds StormGap{600};
-/// How long it pauses; a change is in force well within a second all the same.
-constexpr milliseconds StormPause{500};
+/// How long it pauses. A listing that fills a slow link for long is made less
+/// often; its changes are in force within two seconds all the same.
+constexpr microseconds MinStormPause = milliseconds(500);
+constexpr microseconds MaxStormPause = milliseconds(1'000);
+constexpr int PausePerListing = 3;
+/// After a start or an outage all nodes write their entries anew; for so long
+/// the feed watches.
+constexpr milliseconds SettleTime{6'000};
 
 /// Up to the whole of Longest, so that nodes don't come back together.
 microseconds jitter(microseconds Longest) {
@@ -27,22 +33,30 @@
 } // namespace
 
 store_feed::store_feed(config_store &FeedStore, std::string KeyPrefix,
-                       feed_listener &FeedListener, milliseconds GatherTime)
+                       feed_listener &FeedListener, feed_pace FeedPace)
     : Store(FeedStore), Prefix(std::move(KeyPrefix)), Listener(FeedListener),
-      Gather(GatherTime) {}
+      Pace(std::move(FeedPace)) {}
 
 void store_feed::refresh() { Store.cancelWatch(); }
 
 bool store_feed::isCurrent(instant Now) const {
-  return InTouch && (WatchOpen || Now < ListedAt + StormPause * 2);
+  return InTouch && (WatchOpen || Now < ListedAt + MinStormPause * 2);
+}
+
+microseconds store_feed::stormPause() const {
+  return std::clamp(ListTook * PausePerListing, MinStormPause, MaxStormPause);
+}
+
+bool store_feed::mayPoll() const {
+  bool Urgent = Pace.IsUrgent && Pace.IsUrgent();
+  return Pace.Poll.count() > 0 && !Urgent && currentTime() >= SettledAt;
 }
 
 void store_feed::noteContact(bool Reached, std::string_view Why) {
-  if (Reached == InTouch && (Reached || LostAt != instant()))
+  if (Reached == InTouch && (Reached || EverLost))
     return;
   InTouch = Reached;
-  if (!Reached)
-    LostAt = currentTime();
+  EverLost = EverLost || !Reached;
   log_event(Reached ? "store_reached" : "store_lost")
       .add("prefix", Prefix)
       .add("revision", Revision)
@@ -50,6 +64,7 @@
 }
 
 awaitable<bool> store_feed::list() {
+  instant Asked = currentTime();
   result<range_answer> Answer = co_await Store.range(Prefix, true);
   if (!Answer) {
     noteContact(false, Answer.error().text());
@@ -57,15 +72,15 @@
   }
   noteContact(true, "listed");
   Revision = Answer->Revision;
-  EverListed = true;
   ListedAt = currentTime();
+  ListTook = ListedAt - Asked;
   store_revision Newest;
   for (const store_entry &Entry : Answer->Entries)
     Newest = std::max(Newest, Entry.ModifiedAt);
   // While changes go on, listings alone cost fewer calls than watches.
   Pausing = Pausing && Newest != NewestEntry;
   NewestEntry = Newest;
-  Listener.listed(Answer->Entries);
+  Listener.listed(*Answer);
   co_return true;
 }
 
@@ -87,7 +102,7 @@
         LastEvent = Now;
         if (Storm)
           Pausing = true;
-        Gathering = !Storm && Gather.count() > 0;
+        Gathering = !Storm && Pace.Gather.count() > 0;
         if (Storm || Gathering)
           Store.cancelWatch();
       });
@@ -104,7 +119,21 @@
     bool Intact = co_await watch();
     if (!Intact || Pausing)
       co_return Intact;
-    co_await sleepFor(Gather);
+    co_await sleepFor(Pace.Gather);
+    co_await poll();
+  }
+}
+
+awaitable<void> store_feed::poll() {
+  while (mayPoll()) {
+    result<range_answer> Answer = co_await Store.staleRange(Prefix);
+    if (!Answer)
+      co_return; // the next watch finds out what is wrong
+    if (Answer->Revision >= Revision) {
+      Revision = Answer->Revision;
+      Listener.listed(*Answer);
+    }
+    co_await sleepFor(Pace.Poll);
   }
 }
 
@@ -115,6 +144,7 @@
 
 awaitable<void> store_feed::run() {
   for (;;) {
+    SettledAt = Pausing ? SettledAt : currentTime() + SettleTime;
     bool Intact = co_await list();
     if (Intact) {
       Backoff = microseconds(0);
@@ -122,7 +152,7 @@
         Intact = co_await followWatches();
     }
     if (Intact)
-      co_await sleepFor(StormPause);
+      co_await sleepFor(stormPause());
     else
       co_await backOff();
   }
--- a/src/chivebeam/mesh/store_feed.h
+++ b/src/chivebeam/mesh/store_feed.h
@@ -10,22 +10,33 @@
 class feed_listener {
 public:
   virtual ~feed_listener() = default;
-  /// Everything that is there now.
-  virtual void listed(const std::vector<store_entry> &Entries) = 0;
+  /// Everything that was there at the listing's revision. A listing may be
+  /// older than what was told before.
+  virtual void listed(const range_answer &Listing) = 0;
   virtual void changed(const watch_event &Event) = 0;
 };
 
+/// How closely a feed follows the store.
+struct feed_pace {
+  /// After a change the feed waits so long for others to come with it, which
+  /// saves calls where the change is known sooner from elsewhere.
+  milliseconds Gather{0};
+  /// Between listings that may be old and cost little, once the feed has
+  /// settled; zero: it always watches.
+  milliseconds Poll{0};
+  /// Returns whether changes have to be known at once; null: never.
+  std::function<bool()> IsUrgent;
+};
+
 /// Follows all keys under a prefix: lists them, then watches, and lists again
 /// when the watch broke or missed something. While changes come in quick
 /// succession it pauses and then reads only the newest state, so that large
 /// values don't fill the link. Runs on one io_context; not thread safe.
 class store_feed {
 public:
-  /// Gather: after a change the feed waits so long for others to come with it,
-  /// which saves calls where the change is known sooner from elsewhere.
   /// \pre Store and Listener outlive the feed; nobody else watches with Store.
   store_feed(config_store &Store, std::string Prefix, feed_listener &Listener,
-             milliseconds Gather);
+             feed_pace Pace);
 
   /// Follows until the context stops.
   awaitable<void> run();
@@ -35,14 +46,14 @@
   bool inTouch() const { return InTouch; }
   /// False while changes may have come that this node has not read yet.
   bool isCurrent(instant Now) const;
-  /// When the store stopped answering; the present is within the outage if
-  /// inTouch is false.
-  instant lostAt() const { return LostAt; }
-  /// True once a whole listing was read.
-  bool everListed() const { return EverListed; }
 
 private:
   awaitable<bool> list();
+  /// Lists cheaply for as long as that is enough.
+  awaitable<void> poll();
+  bool mayPoll() const;
+  /// The pause in a storm: most of the time the link is left to calls.
+  microseconds stormPause() const;
   /// Returns true if it ended only for a pause.
   awaitable<bool> watch();
   /// Watches until a storm of changes or a break; returns true for a storm.
@@ -54,7 +65,7 @@
   config_store &Store;
   std::string Prefix;
   feed_listener &Listener;
-  milliseconds Gather;
+  feed_pace Pace;
   store_revision Revision;
   store_revision NewestEntry; ///< of the last listing
   microseconds Backoff{0};
@@ -63,8 +74,9 @@
   bool InTouch = false;
   bool WatchOpen = false;
   instant ListedAt;
-  bool EverListed = false;
-  instant LostAt;
+  microseconds ListTook{0}; ///< the last whole listing
+  instant SettledAt;        ///< polling is enough from then on
+  bool EverLost = false;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/word_exchange.cpp
+++ b/src/chivebeam/mesh/word_exchange.cpp
@@ -1,19 +1,10 @@
 #include "mesh/word_exchange.h"
 
 #include "mesh/mesh_records.h"
-#include "net/clock.h"
 #include "telemetry/log_event.h"
 
 namespace chivebeam {
 
-namespace {
-
-/// The store brings a new configuration to every node by itself; a peer is
-/// asked for one that has not come by then, and again after as long.
-constexpr milliseconds ConfigPatience{600};
-
-} // namespace
-
 peer_frame word_exchange::frame(frame_kind Kind) const {
   peer_frame Frame;
   Frame.Kind = Kind;
@@ -33,24 +24,9 @@
   Channel.send(Hello);
 }
 
-void word_exchange::askIfNewer(const peer_frame &Frame,
-                               frame_channel &Channel) {
-  if (Frame.Config <= Words.configNumber()) {
-    BehindSince = instant();
-    return;
-  }
-  Words.heardOfConfig(Frame.Config);
-  instant Now = currentTime();
-  if (BehindSince == instant())
-    BehindSince = Now;
-  if (Now < BehindSince + ConfigPatience)
-    return;
-  BehindSince = Now;
-  Channel.send(frame(frame_kind::config_query));
-}
-
 bool word_exchange::take(const peer_frame &Frame, frame_channel &Channel) {
-  askIfNewer(Frame, Channel);
+  if (Words.heardOfConfig(Frame.Config))
+    Channel.send(frame(frame_kind::config_query));
   switch (Frame.Kind) {
   case frame_kind::hello:
   case frame_kind::records:
@@ -95,6 +71,8 @@
   case frame_kind::call:
   case frame_kind::answer:
   case frame_kind::cancel:
+  case frame_kind::body_wanted:
+  case frame_kind::body:
     return false;
   }
   return false;
--- a/src/chivebeam/mesh/word_exchange.h
+++ b/src/chivebeam/mesh/word_exchange.h
@@ -23,10 +23,7 @@
   bool take(const peer_frame &Frame, frame_channel &Channel);
 
 private:
-  void askIfNewer(const peer_frame &Frame, frame_channel &Channel);
-
   peer_words &Words;
-  instant BehindSince; ///< when a newer configuration was first heard of
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/store/config_store.h
+++ b/src/chivebeam/store/config_store.h
@@ -66,6 +66,11 @@
   /// Reads one key, or with IsPrefix all keys that start with it.
   virtual awaitable<result<range_answer>> range(std::string Key,
                                                 bool IsPrefix) = 0;
+  /// Reads all keys under Prefix. What it returns may be seconds old where the
+  /// service answers such reads at a lower price.
+  virtual awaitable<result<range_answer>> staleRange(std::string Prefix) {
+    return range(std::move(Prefix), true);
+  }
   /// Reads up to Limit keys under Prefix that come after the key After, in
   /// their order. \pre Limit > 0.
   virtual awaitable<result<range_answer>>
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -140,6 +140,8 @@
   Out.nested = Call.Nested;
   Out.repeat = Call.Repeat;
   Out.unasked = static_cast<std::int32_t>(Call.Unasked);
+  Out.usual_us = Call.Usual.count();
+  Out.offered_bytes = static_cast<std::int64_t>(Call.OfferedBytes);
   return Out;
 }
 
@@ -160,6 +162,9 @@
   Call.Nested = In.nested;
   Call.Repeat = In.repeat;
   Call.Unasked = toCount(In.unasked);
+  Call.Usual = microseconds(std::max<std::int64_t>(In.usual_us, 0));
+  Call.OfferedBytes =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(In.offered_bytes, 0));
   return Call;
 }
 
@@ -247,7 +252,7 @@
   result<wire::peer_frame> In = decodeThrift<wire::peer_frame>(Head);
   if (!In)
     return tl::unexpected(In.error());
-  if (In->kind < 0 || In->kind > static_cast<std::int32_t>(frame_kind::move))
+  if (In->kind < 0 || In->kind > static_cast<std::int32_t>(frame_kind::body))
     return tl::unexpected(badFrame("a frame of unknown kind"));
   peer_frame Frame;
   Frame.Kind = static_cast<frame_kind>(In->kind);
@@ -266,7 +271,8 @@
   bool Complete = (Frame.Kind != frame_kind::call || Frame.Request) &&
                   (Frame.Kind != frame_kind::answer || Frame.Answer) &&
                   (Frame.Kind != frame_kind::evidence || Frame.Evidence) &&
-                  (Frame.Kind != frame_kind::move || Frame.Body);
+                  (Frame.Kind != frame_kind::move || Frame.Body) &&
+                  (Frame.Kind != frame_kind::body || Frame.Body);
   if (!Complete)
     return tl::unexpected(badFrame("a frame without its content"));
   return Frame;
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -25,6 +25,8 @@
   records_query = 9, ///< send all records
   evidence = 10,     ///< what a home node has counted
   move = 11,         ///< how far the move of a service is; its text is the body
+  body_wanted = 12,  ///< send the body of the call that was offered
+  body = 13,         ///< the body of a call that was offered
 };
 
 /// One frame; which parts it has follows from the kind. A plain value.
@@ -36,7 +38,7 @@
   std::optional<mesh_answer> Answer;
   std::vector<home_record> Records;
   std::optional<evidence_report> Evidence;
-  shared_body Body; ///< text of a configuration or a move
+  shared_body Body; ///< text of a configuration or a move; body of a call
 };
 
 /// Largest body of one frame.
--- /dev/null
+++ b/src/libchivebeam/routing/body_gate.cpp
@@ -0,0 +1,110 @@
+#include "routing/body_gate.h"
+
+#include <algorithm>
+
+namespace chivebeam {
+
+namespace {
+
+/// Bytes that may be on their way at a time, as the time that the link takes
+/// for them: more than a round trip, so that it never runs dry.
+constexpr double WindowSeconds = 0.06;
+/// Offers that will miss their goal but not their deadline are kept while fewer
+/// than this wait, so that a queue doesn't make every body late.
+constexpr std::size_t MaxLateWaiting = 2;
+
+std::uint64_t bytesOf(const std::vector<body_offer> &Offers) {
+  std::uint64_t Bytes = 0;
+  for (const body_offer &Offer : Offers)
+    Bytes += Offer.Bytes;
+  return Bytes;
+}
+
+bool erase(std::vector<body_offer> &Offers, call_number Call) {
+  return std::erase_if(Offers, [&](const body_offer &Offer) {
+           return Offer.Call == Call;
+         }) > 0;
+}
+
+} // namespace
+
+microseconds body_gate::transferTime(std::uint64_t Bytes) const {
+  if (BytesPerSecond <= 0)
+    return microseconds(0);
+  return microseconds(static_cast<std::int64_t>(static_cast<double>(Bytes) *
+                                                1e6 / BytesPerSecond));
+}
+
+bool body_gate::hasRoom(std::uint64_t Bytes) const {
+  if (BytesPerSecond <= 0 || Coming.empty())
+    return true;
+  return static_cast<double>(bytesOf(Coming) + Bytes) <=
+         BytesPerSecond * WindowSeconds;
+}
+
+std::uint64_t body_gate::bytesBefore(const body_offer &Offer) const {
+  std::uint64_t Bytes = bytesOf(Coming);
+  for (const body_offer &Other : Waiting)
+    if (Other.Call != Offer.Call && Other.Goal <= Offer.Goal)
+      Bytes += Other.Bytes;
+  return Bytes;
+}
+
+instant body_gate::expectedEnd(const body_offer &Offer, std::uint64_t Before,
+                               instant Now) const {
+  return Now + transferTime(Before + Offer.Bytes) + Offer.Run;
+}
+
+gate_answer body_gate::offer(const body_offer &Offer, instant Now) {
+  if (Waiting.empty() && hasRoom(Offer.Bytes)) {
+    Coming.push_back(Offer);
+    return gate_answer::send;
+  }
+  instant End = expectedEnd(Offer, bytesBefore(Offer), Now);
+  bool Late = End > Offer.Goal;
+  if (End > Offer.Deadline || (Late && Waiting.size() >= MaxLateWaiting))
+    return gate_answer::refuse;
+  Waiting.push_back(Offer);
+  return gate_answer::wait;
+}
+
+gate_change body_gate::ended(call_number Call, instant Now) {
+  if (!erase(Coming, Call))
+    erase(Waiting, Call);
+  gate_change Change = dropHopeless(Now);
+  letThrough(Change);
+  return Change;
+}
+
+gate_change body_gate::dropHopeless(instant Now) {
+  gate_change Change;
+  std::erase_if(Waiting, [&](const body_offer &Offer) {
+    if (expectedEnd(Offer, 0, Now) <= Offer.Deadline)
+      return false;
+    Change.Refused.push_back(Offer.Call);
+    return true;
+  });
+  return Change;
+}
+
+void body_gate::letThrough(gate_change &Change) {
+  while (!Waiting.empty()) {
+    auto First = std::min_element(
+        Waiting.begin(), Waiting.end(),
+        [](const body_offer &Left, const body_offer &Right) {
+          return Left.Goal < Right.Goal;
+        });
+    if (!hasRoom(First->Bytes))
+      return;
+    Change.Sent.push_back(First->Call);
+    Coming.push_back(*First);
+    Waiting.erase(First);
+  }
+}
+
+microseconds body_gate::excessWait(const body_offer &Offer, instant Now) const {
+  instant End = expectedEnd(Offer, bytesBefore(Offer), Now);
+  return std::max(End - std::max(Offer.Goal, Now), microseconds(0));
+}
+
+} // namespace chivebeam
--- /dev/null
+++ b/src/libchivebeam/routing/body_gate.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "base/units.h"
+#include "routing/call_number.h"
+
+namespace chivebeam {
+
+/// A call whose body an entry node would send. A plain value.
+struct body_offer {
+  call_number Call;
+  std::uint64_t Bytes = 0;
+  instant Goal;         ///< an answer until then is worth most
+  instant Deadline;     ///< an answer after it is worth nothing
+  microseconds Run{0};  ///< how long the call runs once its body is here
+};
+
+enum class gate_answer {
+  send,   ///< the body may come now
+  wait,   ///< a later change says when
+  refuse, ///< it can't come in time
+};
+
+/// What became of offers that waited.
+struct gate_change {
+  std::vector<call_number> Sent;    ///< their bodies may come now
+  std::vector<call_number> Refused; ///< can't come in time any more
+};
+
+/// Decides which large bodies other nodes may send to this one. Its link takes
+/// only so much: bodies that all come at once fill it, so that every one of
+/// them is late and small calls wait behind them. About as many are let through
+/// as keep the link busy; the others wait at their senders, the earliest goal
+/// first, or are refused before a byte has crossed. Not thread safe.
+class body_gate {
+public:
+  /// Zero bytes a second: the link's rate is unknown, and nothing waits.
+  explicit body_gate(double BytesPerSecond) : BytesPerSecond(BytesPerSecond) {}
+
+  gate_answer offer(const body_offer &Offer, instant Now);
+  /// A body has come, or its offer was withdrawn.
+  gate_change ended(call_number Call, instant Now);
+  /// Refuses what can't come in time any more.
+  gate_change dropHopeless(instant Now);
+  /// Returns after how long there may be room for a body that was refused.
+  microseconds excessWait(const body_offer &Offer, instant Now) const;
+  std::size_t waiting() const { return Waiting.size(); }
+  std::size_t coming() const { return Coming.size(); }
+
+private:
+  microseconds transferTime(std::uint64_t Bytes) const;
+  std::uint64_t bytesBefore(const body_offer &Offer) const;
+  instant expectedEnd(const body_offer &Offer, std::uint64_t Before,
+                      instant Now) const;
+  bool hasRoom(std::uint64_t Bytes) const;
+  void letThrough(gate_change &Change);
+
+  double BytesPerSecond;
+  std::vector<body_offer> Coming;
+  std::vector<body_offer> Waiting;
+};
+
+} // namespace chivebeam
--- a/src/libchivebeam/routing/expected_end_picker.cpp
+++ b/src/libchivebeam/routing/expected_end_picker.cpp
@@ -189,6 +189,16 @@
     Server.Failures.record(Seen.Verdict == call_verdict::failed, Now);
 }
 
+microseconds expected_end_picker::usualTime(const route_name &Route,
+                                            const endpoint &Endpoint,
+                                            instant Now) const {
+  auto Usual = UsualMicros.find(Route);
+  if (Usual == UsualMicros.end())
+    return microseconds(0);
+  double Factor = Now < Endpoint.ReadySince ? ColdFactor : 1;
+  return microseconds(static_cast<std::int64_t>(Usual->second * Factor));
+}
+
 void expected_end_picker::ran(const route_name &Route, const endpoint &Endpoint,
                               microseconds Duration) {
   auto Sample = static_cast<double>(Duration.count());
--- a/src/libchivebeam/routing/expected_end_picker.h
+++ b/src/libchivebeam/routing/expected_end_picker.h
@@ -47,6 +47,10 @@
   /// callEnded.
   void ran(const route_name &Route, const endpoint &Endpoint,
            microseconds Duration);
+  /// Returns how long a call of the route usually takes at a server like this
+  /// one; zero before any was seen.
+  microseconds usualTime(const route_name &Route, const endpoint &Endpoint,
+                         instant Now) const;
   /// Returns the load last heard of, if it is recent.
   const home_load *recentLoad(const endpoint &Endpoint, instant Now) const;
   /// Returns the mean of what the home nodes of a group have said of refusals,
--- a/src/libchivebeam/routing/service_times.h
+++ b/src/libchivebeam/routing/service_times.h
@@ -15,6 +15,10 @@
   /// Returns the mean of late for a call of the route: of all routes if that
   /// one is new, a default before the first call.
   microseconds expected(const route_name &Route) const;
+  /// True if a call of the route has run.
+  bool knows(const route_name &Route) const {
+    return MicrosByRoute.contains(Route);
+  }
   /// Returns the mean over all routes; zero before the first call.
   microseconds overall() const;
   /// Another backend server took the place of the one that was measured.
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -46,6 +46,12 @@
   return Left.Goal < Right.Goal;
 }
 
+microseconds slot_queue::durationOf(const slot_request &Request) const {
+  return Request.Usual.count() > 0 && !Times.knows(Request.Route)
+             ? Request.Usual
+             : Times.expected(Request.Route);
+}
+
 double slot_queue::slotsForOthers(instant Now) const {
   double Nested = NestedWork.perSecond(Now) / 1e6;
   return std::max(Slots - Nested, Slots * LeastPartForOthers);
@@ -56,17 +62,19 @@
   if (Running < Slots && Waiting.empty())
     return microseconds(0);
   // With all slots busy, one becomes free each time divided by slots.
-  auto Work = static_cast<double>(Times.overall().count());
+  microseconds Mean = Times.overall();
+  auto Work = static_cast<double>(
+      (Mean.count() > 0 ? Mean : durationOf(Request)).count());
   for (const slot_request &Other : Waiting)
     if (!goesBefore(Request, Other))
-      Work += static_cast<double>(Times.expected(Other.Route).count());
+      Work += static_cast<double>(durationOf(Other).count());
   // Nested calls that are still to come will go before an outside call.
   double Servers = Request.Nested ? Slots : slotsForOthers(Now);
   return microseconds(static_cast<std::int64_t>(Work / std::max(Servers, 0.1)));
 }
 
 bool slot_queue::isHopeless(const slot_request &Request, instant Now) const {
-  return Now + Times.expected(Request.Route) * HopelessPercent / 100 >
+  return Now + durationOf(Request) * HopelessPercent / 100 >
          Request.Deadline;
 }
 
@@ -74,7 +82,7 @@
   if (Waiting.size() >= MaxWaitingPerSlot * std::max(Slots, 1U))
     return false;
   microseconds Wait = waitOf(Request, Now);
-  instant End = Now + Wait + Times.expected(Request.Route);
+  instant End = Now + Wait + durationOf(Request);
   if (End <= Request.Goal)
     return true;
   if (isHopeless(Request, Now + Wait))
@@ -83,6 +91,11 @@
          static_cast<double>(Waiting.size()) < Slots * LateCallsPerSlot;
 }
 
+bool slot_queue::wouldTake(const slot_request &Request, instant Now) const {
+  bool Free = Running < Slots && Waiting.empty();
+  return Free ? !isHopeless(Request, Now) : Slots > 0 && fits(Request, Now);
+}
+
 slot_answer slot_queue::arrive(const slot_request &Request, instant Now) {
   if (Running < Slots && Waiting.empty() && !isHopeless(Request, Now)) {
     ++Running;
@@ -152,7 +165,7 @@
 
 microseconds slot_queue::excessWait(const slot_request &Request,
                                     instant Now) const {
-  instant End = Now + waitOf(Request, Now) + Times.expected(Request.Route);
+  instant End = Now + waitOf(Request, Now) + durationOf(Request);
   return std::max(End - std::max(Request.Goal, Now), microseconds(0));
 }
 
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -18,6 +18,7 @@
   bool Nested = false;  ///< made by a backend server that runs another call
   instant Goal;         ///< an answer until then is worth most
   instant Deadline;     ///< an answer after it is worth nothing
+  microseconds Usual{0}; ///< such calls take so long elsewhere; zero: unknown
 };
 
 enum class slot_answer {
@@ -47,6 +48,12 @@
   std::size_t waiting() const { return Waiting.size(); }
 
   slot_answer arrive(const slot_request &Request, instant Now);
+  /// Returns whether the call would be taken if it arrived now.
+  bool wouldTake(const slot_request &Request, instant Now) const;
+  /// Returns the time that the call would wait and run.
+  microseconds expectedRun(const slot_request &Request, instant Now) const {
+    return waitOf(Request, Now) + durationOf(Request);
+  }
   /// Frees the slot of a call that ran for Duration.
   slot_change release(const slot_request &Request, microseconds Duration,
                       instant Now);
@@ -62,15 +69,15 @@
   /// Returns by how much the queue is too long for the call to meet its goal:
   /// the time after which there may be room, if no more calls came.
   microseconds excessWait(const slot_request &Request, instant Now) const;
-  microseconds expectedDuration(const route_name &Route) const {
-    return Times.expected(Route);
-  }
   /// Counts, times and refusals; the rest is left at zero.
   home_load load(instant Now) const;
   /// Another backend server took the place of the one that was measured.
   void forgetTimes() { Times.reset(); }
 
 private:
+  /// Returns how long the call will run: as calls of its route ran here, or
+  /// before the first of them, elsewhere.
+  microseconds durationOf(const slot_request &Request) const;
   /// Slots that nested calls leave to the others.
   double slotsForOthers(instant Now) const;
   bool goesBefore(const slot_request &Left, const slot_request &Right) const;
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -172,6 +172,10 @@
   12: bool nested
   13: i32 unasked
   14: bool repeat
+  // Zero: the entry node has not learned it yet.
+  15: i64 usual_us
+  // Above zero: the body is sent once the home node wants it.
+  16: i64 offered_bytes
 }
 
 struct call_answer {
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -3279,6 +3279,14 @@
 void call_request::__set_repeat(const bool val) {
   this->repeat = val;
 }
+
+void call_request::__set_usual_us(const int64_t val) {
+  this->usual_us = val;
+}
+
+void call_request::__set_offered_bytes(const int64_t val) {
+  this->offered_bytes = val;
+}
 std::ostream& operator<<(std::ostream& out, const call_request& obj)
 {
   obj.printTo(out);
@@ -3431,6 +3439,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usual_us);
+          this->__isset.usual_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offered_bytes);
+          this->__isset.offered_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3512,6 +3536,14 @@
   xfer += oprot->writeBool(this->repeat);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("usual_us", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->usual_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offered_bytes", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->offered_bytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3533,6 +3565,8 @@
   swap(a.nested, b.nested);
   swap(a.unasked, b.unasked);
   swap(a.repeat, b.repeat);
+  swap(a.usual_us, b.usual_us);
+  swap(a.offered_bytes, b.offered_bytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -3551,6 +3585,8 @@
   nested = other88.nested;
   unasked = other88.unasked;
   repeat = other88.repeat;
+  usual_us = other88.usual_us;
+  offered_bytes = other88.offered_bytes;
   __isset = other88.__isset;
 }
 call_request& call_request::operator=(const call_request& other89) {
@@ -3568,6 +3604,8 @@
   nested = other89.nested;
   unasked = other89.unasked;
   repeat = other89.repeat;
+  usual_us = other89.usual_us;
+  offered_bytes = other89.offered_bytes;
   __isset = other89.__isset;
   return *this;
 }
@@ -3588,6 +3626,8 @@
   out << ", " << "nested=" << to_string(nested);
   out << ", " << "unasked=" << to_string(unasked);
   out << ", " << "repeat=" << to_string(repeat);
+  out << ", " << "usual_us=" << to_string(usual_us);
+  out << ", " << "offered_bytes=" << to_string(offered_bytes);
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1296,7 +1296,7 @@
 std::ostream& operator<<(std::ostream& out, const home_record& obj);
 
 typedef struct _call_request__isset {
-  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false) {}
+  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false) {}
   bool id :1;
   bool service_name :1;
   bool route :1;
@@ -1311,6 +1311,8 @@
   bool nested :1;
   bool unasked :1;
   bool repeat :1;
+  bool usual_us :1;
+  bool offered_bytes :1;
 } _call_request__isset;
 
 class call_request : public virtual ::apache::thrift::TBase {
@@ -1331,7 +1333,9 @@
                  idempotent(0),
                  nested(0),
                  unasked(0),
-                 repeat(0) {
+                 repeat(0),
+                 usual_us(0),
+                 offered_bytes(0) {
   }
 
   virtual ~call_request() noexcept;
@@ -1349,6 +1353,8 @@
   bool nested;
   int32_t unasked;
   bool repeat;
+  int64_t usual_us;
+  int64_t offered_bytes;
 
   _call_request__isset __isset;
 
@@ -1380,6 +1386,10 @@
 
   void __set_repeat(const bool val);
 
+  void __set_usual_us(const int64_t val);
+
+  void __set_offered_bytes(const int64_t val);
+
   bool operator == (const call_request & rhs) const
   {
     if (!(id == rhs.id))
@@ -1410,6 +1420,10 @@
       return false;
     if (!(repeat == rhs.repeat))
       return false;
+    if (!(usual_us == rhs.usual_us))
+      return false;
+    if (!(offered_bytes == rhs.offered_bytes))
+      return false;
     return true;
   }
   bool operator != (const call_request &rhs) const {
