Take a home node's refusal at its word for as long as it says

- a home node that refused for want of room is not asked by calls as urgent or less for the time it named (100 to 300 ms); large bodies apart from others.
- Retry-After of a call that nobody is asked about comes from the same times.
- waiting calls are looked at each 100 ms and refused as not run while that is still known, not only when a slot is freed.
- before any call of a route was seen, it is taken to last a third of its goal.
- no further attempt with less than 60% of its usual time left.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -25,6 +25,12 @@
 /// Home nodes that a call asks while it is run nowhere: after so many that had
 /// no room, the service is full, and asking on would cost more than it brings.
 constexpr unsigned MaxAsks = 10;
+/// Before any call of a route was seen to run, one is taken to need this part
+/// of the route's goal: operators set goals at a few times the usual.
+constexpr int UsualPartsOfGoal = 3;
+/// Another attempt is made if this part of its usual time is left, in percent:
+/// as at home nodes, half of the calls are faster than the mean.
+constexpr int LeastAttemptPercent = 60;
 /// Least time in which another attempt can end.
 constexpr milliseconds MinAttemptTime{10};
 /// Log lines a second, and at once, for calls that were served at the first
@@ -107,9 +113,9 @@
   return Request.ArrivedAt - (Full - *Request.Patience);
 }
 
-void entry_router::prepare(entry_call &Entry, entry_request Request,
-                           instant Now) {
-  const route_rule &Route = *Entry.Route;
+void entry_router::prepare(entry_call &Entry, const route_rule &Route,
+                           entry_request Request, instant Now) {
+  Entry.Assumed = Route.Goal / UsualPartsOfGoal;
   Entry.ArrivedAt = Request.ArrivedAt;
   mesh_call &Call = Entry.Call;
   Call.Id = Request.Id;
@@ -154,13 +160,13 @@
   if (!Entry.View)
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::not_ready, spread(NobodyWait)};
-  Entry.Route = Entry.View->Config->match(Request.Host, pathOf(Request.Target),
-                                          Request.Method);
-  if (!Entry.Route)
+  const route_rule *Route = Entry.View->Config->match(
+      Request.Host, pathOf(Request.Target), Request.Method);
+  if (!Route)
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::no_route, {}};
   instant Now = currentTime();
-  prepare(Entry, std::move(Request), Now);
+  prepare(Entry, *Route, std::move(Request), Now);
   if (!admit(Entry, Now))
     co_return refuseUnasked(Entry, "a service further down is overloaded");
   ++OpenCalls;
@@ -219,6 +225,11 @@
   const mesh_call &Call = Entry.Call;
   if (!Call.Nested && Entry.Attempts == 0)
     ++Unasked[{Call.Service, Call.Urgency}];
+  instant Now = currentTime();
+  const endpoint_group *Group =
+      findGroup(*Entry.View, Call.Service, Entry.Version);
+  if (Group && Entry.Wait.count() == 0)
+    Entry.Wait = Picker.roomAfter(*Group, needsOf(Entry, Now), Now);
   if (Entry.Wait.count() == 0)
     Entry.Wait = NoRoomWait;
   mesh_answer Nobody = noAnswer(attempt_outcome::not_sent, std::move(Reason));
@@ -232,10 +243,14 @@
   const endpoint_group *Group = findGroup(*Entry.View, Service, Entry.Version);
   if (!Group)
     return nullptr;
-  call_needs Needs{
-      Entry.Call.Route, Entry.Call.Goal - Now, Entry.Call.Deadline - Now,
-      Entry.Call.Body ? Entry.Call.Body->size() : 0, Entry.Call.Nested};
-  return Picker.pickFor(*Group, Entry.Tried, Needs, Now);
+  return Picker.pickFor(*Group, Entry.Tried, needsOf(Entry, Now), Now);
+}
+
+call_needs entry_router::needsOf(const entry_call &Entry, instant Now) {
+  const mesh_call &Call = Entry.Call;
+  return {Call.Route,          Call.Goal - Now,
+          Call.Deadline - Now, Call.Body ? Call.Body->size() : 0,
+          Call.Nested,         Call.Urgency};
 }
 
 bool entry_router::hasOthers(const entry_call &Entry) const {
@@ -292,7 +307,17 @@
   Entry.Asks += Answer.Unreachable ? 0 : 1;
   Entry.View = State.view() ? State.view() : Entry.View;
   Entry.History.OthersLeft = hasOthers(Entry) && Entry.Asks < MaxAsks;
-  Entry.History.TimeLeft = Now + MinAttemptTime < Entry.Call.Deadline;
+  microseconds Least =
+      usualTime(Entry, endpoint(), Now) * LeastAttemptPercent / 100;
+  Entry.History.TimeLeft =
+      Now + std::max<microseconds>(Least, MinAttemptTime) < Entry.Call.Deadline;
+}
+
+microseconds entry_router::usualTime(const entry_call &Entry,
+                                     const endpoint &Endpoint,
+                                     instant Now) const {
+  microseconds Known = Picker.usualTime(Entry.Call.Route, Endpoint, Now);
+  return Known.count() > 0 ? Known : Entry.Assumed;
 }
 
 awaitable<mesh_answer> entry_router::attempt(entry_call &Entry,
@@ -307,7 +332,7 @@
   });
   mesh_call Call = Entry.Call;
   Call.Worker = Endpoint.Worker;
-  Call.Usual = Picker.usualTime(Call.Route, Endpoint, Now);
+  Call.Usual = usualTime(Entry, Endpoint, Now);
   if (!Call.Nested)
     Call.Unasked = std::exchange(Unasked[{Call.Service, Call.Urgency}], 0);
   auto Reply = [Slot](mesh_answer Answer) { Slot.set(std::move(Answer)); };
@@ -338,6 +363,12 @@
       (Answer.Load.Limit > 0 || Answer.Status > 0 || Answer.Wait.count() > 0);
   if (Told)
     Seen.Load = Answer.Load;
+  bool IsFull = Answer.Outcome == attempt_outcome::not_sent &&
+                !Answer.Unreachable && Answer.Load.Limit > 0;
+  if (IsFull)
+    Seen.NoRoom = Answer.Wait;
+  Seen.Urgency = Entry.Call.Urgency;
+  Seen.LargeBody = Entry.Call.Body && Entry.Call.Body->size() > LargeBodyBytes;
   if (Answer.Outcome == attempt_outcome::answered && Answer.Ran.count() > 0)
     Picker.ran(Entry.Call.Route, Endpoint, Answer.Ran);
   Picker.callEnded(Entry.Call.Service, Endpoint, Seen, Now);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -66,7 +66,8 @@
   /// One call with what was decided about it.
   struct entry_call {
     fleet_view_ptr View;
-    const route_rule *Route = nullptr;
+    microseconds Assumed{
+        0}; ///< how long it runs, before any such call was seen
     version_name Version;
     bool OnNewVersion = false;
     mesh_call Call;
@@ -78,7 +79,8 @@
     instant ArrivedAt;
   };
 
-  void prepare(entry_call &Entry, entry_request Request, instant Now);
+  void prepare(entry_call &Entry, const route_rule &Route,
+               entry_request Request, instant Now);
   /// Returns when the caller sent its first attempt at what it wants.
   instant firstAttempt(const route_rule &Route, const entry_request &Request);
   awaitable<entry_result> attempts(entry_call &Entry, cancel_signal Cancel);
@@ -90,6 +92,9 @@
   bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
   bool hasOthers(const entry_call &Entry) const;
+  static call_needs needsOf(const entry_call &Entry, instant Now);
+  microseconds usualTime(const entry_call &Entry, const endpoint &Endpoint,
+                         instant Now) const;
   /// Notes in the call's history what an attempt came to.
   void noteAttempt(entry_call &Entry, const mesh_answer &Answer, instant Now);
   /// Ends a call that no home node is asked about (any more).
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -56,6 +56,11 @@
   }
 }
 
+void home_runner::tick(instant Now) {
+  apply(Queue.dropHopeless(Now));
+  apply(Bodies.dropHopeless(Now));
+}
+
 void home_runner::apply(const slot_change &Change) {
   auto Tell = [&](const std::vector<call_number> &Calls, bool Started) {
     for (call_number Call : Calls)
@@ -106,8 +111,8 @@
 }
 
 void home_runner::refuse(const job &Job, std::string Reason) {
-  finish(Job, refusal(Queue.excessWait(Job.Slot, currentTime()),
-                      std::move(Reason)));
+  finish(Job,
+         refusal(Queue.excessWait(Job.Slot, currentTime()), std::move(Reason)));
 }
 
 call_number home_runner::offerBody(const mesh_call &Call,
@@ -121,7 +126,8 @@
   else if (Now < UnreachableUntil)
     Decide(refusal(MinWait, "the backend server can't be reached"));
   else if (!Queue.wouldTake(Slot, Now))
-    Decide(refusal(Queue.excessWait(Slot, Now), "no slot would be free in time"));
+    Decide(
+        refusal(Queue.excessWait(Slot, Now), "no slot would be free in time"));
   else
     decideOffer(Offer, std::move(Decide), Now);
   return Slot.Call;
@@ -150,10 +156,9 @@
     for (call_number Call : Calls) {
       auto Found = Offered.extract(Call.value());
       if (!Found.empty())
-        Found.mapped()(Wanted
-                           ? std::nullopt
-                           : std::optional(refusal(
-                                 MinWait, "its body did not come in time")));
+        Found.mapped()(Wanted ? std::nullopt
+                              : std::optional(refusal(
+                                    MinWait, "its body did not come in time")));
     }
   };
   Tell(Change.Sent, true);
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -42,9 +42,9 @@
   call_number offerBody(const mesh_call &Call, body_decision Decide);
   /// The body has come, or its sender is gone.
   void bodyEnded(call_number Offer);
-  /// Refuses bodies that can't come in time any more. Called several times a
-  /// second.
-  void tick(instant Now) { apply(Bodies.dropHopeless(Now)); }
+  /// Refuses calls and bodies that wait and can't be served in time any more.
+  /// Called several times a second.
+  void tick(instant Now);
 
   /// True if a call that runs now was sent to a backend server before.
   bool runsRepeat(const request_id &Id) const { return Repeats.contains(Id); }
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "mesh/peer_link.h"
 
 #include "net/clock.h"
+#include "routing/expected_end_picker.h"
 #include "telemetry/log_event.h"
 
 namespace chivebeam {
@@ -20,9 +21,6 @@
 constexpr milliseconds PingAfter{150};
 constexpr milliseconds SilenceLimit{600};
 constexpr milliseconds SendingLimit{2'000};
-/// Larger bodies are sent when the home node wants them: a round trip costs
-/// less than to send them in vain.
-constexpr std::size_t MaxUnofferedBody = 16 << 10;
 
 } // namespace
 
@@ -84,7 +82,7 @@
   peer_frame Frame = Exchange.frame(frame_kind::call);
   Frame.Call = Number;
   shared_body Body = Waiting.Call.Body;
-  Waiting.Offered = Body && Body->size() > MaxUnofferedBody;
+  Waiting.Offered = Body && Body->size() > LargeBodyBytes;
   Waiting.Sent = !Waiting.Offered;
   Frame.Request = std::move(Waiting.Call);
   if (Waiting.Offered) {
--- a/src/libchivebeam/routing/expected_end_picker.cpp
+++ b/src/libchivebeam/routing/expected_end_picker.cpp
@@ -22,6 +22,10 @@
 constexpr milliseconds LoadLifetime{1'500};
 /// Within this time a home node that has no room is taken at its word.
 constexpr milliseconds FreshLoad{100};
+/// For so long at least and at most, a home node that refused a call is not
+/// asked to take one that is no more urgent.
+constexpr microseconds MinNoRoom = FreshLoad;
+constexpr microseconds MaxNoRoom = milliseconds(300);
 /// A backend server in its cold start takes about twice as long.
 constexpr double ColdFactor = 2.0;
 /// Cost of a busy server beside an idle one, as a part of a call's time: calls
@@ -34,8 +38,6 @@
 constexpr double GoalPart = 0.9;
 /// Nested calls wait for each other only; more than so many seldom do.
 constexpr double MaxQueuedNested = 2;
-/// Bodies beyond this size count as large.
-constexpr std::size_t LargeBody = 16 << 10;
 /// A server that failed every recent call costs so many times as much.
 constexpr double FailureFactor = 12.0;
 /// Cost of a server whose home node could not be reached, or runs nothing.
@@ -106,8 +108,34 @@
   return Cost;
 }
 
+bool expected_end_picker::isFullFor(const server &Server,
+                                    const call_needs &Needs, instant Now) {
+  const no_room &Known =
+      Needs.Bytes > LargeBodyBytes ? Server.Large : Server.Small;
+  return !Needs.Nested && Now < Known.Until && Needs.Urgency >= Known.Urgency;
+}
+
+microseconds expected_end_picker::roomAfter(const endpoint_group &Group,
+                                            const call_needs &Needs,
+                                            instant Now) const {
+  instant Earliest = instant::max();
+  for (const auto *Side : {&Group.Local, &Group.Remote})
+    for (const endpoint &Endpoint : *Side) {
+      auto Found = Servers.find(Endpoint.Node);
+      if (Found == Servers.end() || !isFullFor(Found->second, Needs, Now))
+        continue;
+      const server &Server = Found->second;
+      Earliest =
+          std::min(Earliest, Needs.Bytes > LargeBodyBytes ? Server.Large.Until
+                                                          : Server.Small.Until);
+    }
+  return Earliest == instant::max() ? microseconds(0) : Earliest - Now;
+}
+
 bool expected_end_picker::mayTake(const server &Server, double Micros,
                                   const call_needs &Needs, instant Now) const {
+  if (isFullFor(Server, Needs, Now))
+    return false;
   if (Now >= Server.ReportedAt + FreshLoad)
     return true;
   if (Micros <= static_cast<double>(Needs.GoalLeft.count()))
@@ -158,7 +186,8 @@
                                              const call_needs &Needs,
                                              instant Now) {
   candidate Near = cheapest(Group.Local, Excluded, Needs, Now);
-  microseconds Left = Needs.Bytes > LargeBody ? Needs.TimeLeft : Needs.GoalLeft;
+  microseconds Left =
+      Needs.Bytes > LargeBodyBytes ? Needs.TimeLeft : Needs.GoalLeft;
   if (Near.Endpoint &&
       Near.Cost <= static_cast<double>(Left.count()) * GoalPart)
     return Near.Endpoint;
@@ -182,6 +211,9 @@
     Server.OpenAtReport = Server.Open;
     Server.ReportedAt = Now;
   }
+  if (Seen.NoRoom.count() > 0)
+    (Seen.LargeBody ? Server.Large : Server.Small) = {
+        Seen.Urgency, Now + std::clamp(Seen.NoRoom, MinNoRoom, MaxNoRoom)};
   if (Seen.Verdict == call_verdict::unreachable)
     Server.AvoidUntil = Now + AvoidTime;
   if (Seen.Verdict == call_verdict::served ||
--- a/src/libchivebeam/routing/expected_end_picker.h
+++ b/src/libchivebeam/routing/expected_end_picker.h
@@ -15,9 +15,14 @@
   microseconds GoalLeft = microseconds::max(); ///< until its goal
   microseconds TimeLeft = microseconds::max(); ///< until its deadline
   std::size_t Bytes = 0;                       ///< of its body
-  bool Nested = false; ///< home nodes let it go before outside calls
+  bool Nested = false;  ///< home nodes let it go before outside calls
+  unsigned Urgency = 0; ///< 0 is the most urgent
 };
 
+/// Bodies beyond this size count as large: they cost more to send than a call
+/// costs otherwise.
+inline constexpr std::size_t LargeBodyBytes = 16 << 10;
+
 /// Chooses the backend server that is expected to answer first, from the load
 /// that home nodes write on their answers and this node's own open calls. In a
 /// small group all are compared, in a large one a few random ones. The local
@@ -47,6 +52,10 @@
   /// callEnded.
   void ran(const route_name &Route, const endpoint &Endpoint,
            microseconds Duration);
+  /// Returns after which time a home node of the group that has refused such
+  /// calls expects room; zero if none has.
+  microseconds roomAfter(const endpoint_group &Group, const call_needs &Needs,
+                         instant Now) const;
   /// Returns how long a call of the route usually takes at a server like this
   /// one; zero before any was seen.
   microseconds usualTime(const route_name &Route, const endpoint &Endpoint,
@@ -58,6 +67,11 @@
   overload_view overload(const endpoint_group &Group, instant Now) const;
 
 private:
+  /// A home node has refused calls that are as urgent as this, or less.
+  struct no_room {
+    unsigned Urgency = 0;
+    instant Until;
+  };
   struct server {
     worker_id Worker;
     unsigned Open = 0; ///< calls of this node that are under way
@@ -67,6 +81,8 @@
     double Slowness = 1; ///< time of a call beside the usual on its route
     recent_share Failures{FailureHalfLife};
     instant AvoidUntil; ///< its home node could not be reached
+    no_room Small;      ///< for calls with small bodies
+    no_room Large;
   };
   struct candidate {
     const endpoint *Endpoint = nullptr;
@@ -74,6 +90,8 @@
   };
 
   server &serverOf(const endpoint &Endpoint);
+  static bool isFullFor(const server &Server, const call_needs &Needs,
+                        instant Now);
   /// Usual time of a call that doesn't wait.
   double usualMicros(const route_name &Route) const;
   double timeOf(const call_needs &Needs, const endpoint &Endpoint,
--- a/src/libchivebeam/routing/picking_policy.h
+++ b/src/libchivebeam/routing/picking_policy.h
@@ -23,6 +23,11 @@
   microseconds Latency{0};
   std::optional<int> FreeSlots;  ///< in-band load; below zero: calls wait
   std::optional<home_load> Load; ///< in-band load in full, where it is told
+  /// The home node refused the call for want of room, and expects some after
+  /// this time; zero: it did not.
+  microseconds NoRoom{0};
+  unsigned Urgency = 0;   ///< of the call
+  bool LargeBody = false; ///< the call has one
 };
 
 /// Chooses the backend server for each call, and learns from how calls end.
