--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -24,7 +24,7 @@
 constexpr int WaitSpreadPercent = 50;
 /// Home nodes that a call asks while it is run nowhere: after so many that had
 /// no room, the service is full, and asking on would cost more than it brings.
-constexpr unsigned MaxAsks = 10;
+constexpr unsigned MaxAsks = 6;
 /// Before any call of a route was seen to run, one is taken to need this part
 /// of the route's goal: operators set goals at a few times the usual.
 constexpr int UsualPartsOfGoal = 3;
--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -4,6 +4,7 @@
 
 #include "net/clock.h"
 #include "telemetry/log_event.h"
+#include "wire/packed_text.h"
 
 namespace chivebeam {
 
@@ -116,9 +117,16 @@
       .add("routes", (*Compiled)->routes().size());
   Config = *Compiled;
   ConfigText = Text;
+  PackedConfig.reset();
   rebuild();
 }
 
+shared_body mesh_state::packedConfig() {
+  if (!PackedConfig && ConfigText)
+    PackedConfig = std::make_shared<const std::string>(packText(*ConfigText));
+  return PackedConfig;
+}
+
 void mesh_state::takeEvidence(const evidence_report &Report) {
   if (OnEvidence)
     OnEvidence(Report);
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -53,7 +53,7 @@
   std::vector<home_record> knownRecords() const override;
   std::vector<service_move> knownMoves() const override;
   config_number configNumber() const override;
-  shared_body configText() const override { return ConfigText; }
+  shared_body packedConfig() override;
   void takeRecords(const std::vector<home_record> &Records) override;
   void takeConfig(config_number Number, const shared_body &Text) override;
   void takeEvidence(const evidence_report &Report) override;
@@ -75,6 +75,7 @@
   home_record Own;
   snapshot_ptr Config;
   shared_body ConfigText;
+  shared_body PackedConfig; ///< of ConfigText, once a peer has asked for it
   config_catch_up CatchUp;
   config_number RefusedConfig; ///< the newest that could not be compiled
   home_directory Directory;
--- a/src/chivebeam/mesh/peer_words.h
+++ b/src/chivebeam/mesh/peer_words.h
@@ -19,8 +19,9 @@
   virtual std::vector<home_record> knownRecords() const = 0;
   virtual std::vector<service_move> knownMoves() const = 0;
   virtual config_number configNumber() const = 0;
-  /// Returns the text of the newest configuration; null if there is none.
-  virtual shared_body configText() const = 0;
+  /// Returns the packed text of the newest configuration; null if there is
+  /// none.
+  virtual shared_body packedConfig() = 0;
 
   virtual void takeRecords(const std::vector<home_record> &Records) = 0;
   virtual void takeConfig(config_number Number, const shared_body &Text) = 0;
--- a/src/chivebeam/mesh/store_feed.cpp
+++ b/src/chivebeam/mesh/store_feed.cpp
@@ -16,8 +16,8 @@
 constexpr milliseconds StormGap{600};
 /// How long it pauses. A listing that fills a slow link for long is made less
 /// often; its changes are in force within two seconds all the same.
-constexpr microseconds MinStormPause = milliseconds(500);
-constexpr microseconds MaxStormPause = milliseconds(1'000);
+constexpr microseconds MinStormPause = milliseconds(900);
+constexpr microseconds MaxStormPause = milliseconds(1'200);
 constexpr int PausePerListing = 3;
 /// After a start or an outage all nodes write their entries anew; for so long
 /// the feed watches.
--- a/src/chivebeam/mesh/word_exchange.cpp
+++ b/src/chivebeam/mesh/word_exchange.cpp
@@ -2,9 +2,17 @@
 
 #include "mesh/mesh_records.h"
 #include "telemetry/log_event.h"
+#include "wire/packed_text.h"
 
 namespace chivebeam {
 
+namespace {
+
+/// Far beyond what one value of the platform's store can hold.
+constexpr std::size_t MaxConfigBytes = 64 << 20;
+
+} // namespace
+
 peer_frame word_exchange::frame(frame_kind Kind) const {
   peer_frame Frame;
   Frame.Kind = Kind;
@@ -24,6 +32,17 @@
   Channel.send(Hello);
 }
 
+void word_exchange::takeConfig(const peer_frame &Frame) {
+  if (!Frame.Body)
+    return;
+  result<std::string> Text = unpackText(*Frame.Body, MaxConfigBytes);
+  if (Text)
+    Words.takeConfig(Frame.Config,
+                     std::make_shared<const std::string>(std::move(*Text)));
+  else
+    log_event("bad_config").add("error", Text.error().text());
+}
+
 bool word_exchange::take(const peer_frame &Frame, frame_channel &Channel) {
   if (Words.heardOfConfig(Frame.Config))
     Channel.send(frame(frame_kind::config_query));
@@ -43,13 +62,12 @@
   case frame_kind::config_query:
     if (Words.configNumber() > Frame.Config) {
       peer_frame Config = frame(frame_kind::config);
-      Config.Body = Words.configText();
+      Config.Body = Words.packedConfig();
       Channel.send(Config);
     }
     return true;
   case frame_kind::config:
-    if (Frame.Body)
-      Words.takeConfig(Frame.Config, Frame.Body);
+    takeConfig(Frame);
     return true;
   case frame_kind::records_query: {
     peer_frame Known = frame(frame_kind::records);
--- a/src/chivebeam/mesh/word_exchange.h
+++ b/src/chivebeam/mesh/word_exchange.h
@@ -23,6 +23,8 @@
   bool take(const peer_frame &Frame, frame_channel &Channel);
 
 private:
+  void takeConfig(const peer_frame &Frame);
+
   peer_words &Words;
 };
 
--- /dev/null
+++ b/src/chivebeam/wire/packed_text.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+
+namespace chivebeam {
+
+/// Packs a text for the way between nodes: configurations repeat the same words
+/// for each route, and links are slow. Thread safe.
+std::string packText(std::string_view Text);
+/// Reads what packText made; an error if it is damaged or larger than MaxBytes.
+/// Thread safe.
+result<std::string> unpackText(std::string_view Packed, std::size_t MaxBytes);
+
+} // namespace chivebeam
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -21,7 +21,7 @@
   pong = 5,
   records = 6,       ///< what the sender knows of home nodes
   config_query = 7,  ///< send the newest configuration
-  config = 8,        ///< its text is the frame's body
+  config = 8,        ///< its packed text is the frame's body
   records_query = 9, ///< send all records
   evidence = 10,     ///< what a home node has counted
   move = 11,         ///< how far the move of a service is; its text is the body
--- a/src/libchivebeam/config/config_catch_up.h
+++ b/src/libchivebeam/config/config_catch_up.h
@@ -12,7 +12,7 @@
 public:
   /// The store brings a configuration to every node by itself; a peer is asked
   /// for one that has not come by then.
-  static constexpr milliseconds Patience{600};
+  static constexpr milliseconds Patience{1'000};
   /// A peer may be silent, so another is asked after this time; each further
   /// time is twice as long, since a slow link may be what holds the text up.
   static constexpr milliseconds FirstAnswerTime{600};
@@ -28,10 +28,10 @@
   bool isBehind(config_number Own) const { return Newest > Own; }
 
 private:
-  config_number Newest;   ///< that any peer holds
-  config_number OwnThen;  ///< this node's own when it fell behind
-  instant BehindSince;    ///< zero: it is not behind
-  instant AskedAt;        ///< zero: nobody was asked since
+  config_number Newest;  ///< that any peer holds
+  config_number OwnThen; ///< this node's own when it fell behind
+  instant BehindSince;   ///< zero: it is not behind
+  instant AskedAt;       ///< zero: nobody was asked since
   milliseconds AnswerTime = FirstAnswerTime;
   bool CutOff = false;
 };
--- a/src/libchivebeam/routing/body_gate.cpp
+++ b/src/libchivebeam/routing/body_gate.cpp
@@ -89,11 +89,11 @@
 
 void body_gate::letThrough(gate_change &Change) {
   while (!Waiting.empty()) {
-    auto First = std::min_element(
-        Waiting.begin(), Waiting.end(),
-        [](const body_offer &Left, const body_offer &Right) {
-          return Left.Goal < Right.Goal;
-        });
+    auto First =
+        std::min_element(Waiting.begin(), Waiting.end(),
+                         [](const body_offer &Left, const body_offer &Right) {
+                           return Left.Goal < Right.Goal;
+                         });
     if (!hasRoom(First->Bytes))
       return;
     Change.Sent.push_back(First->Call);
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -74,8 +74,7 @@
 }
 
 bool slot_queue::isHopeless(const slot_request &Request, instant Now) const {
-  return Now + durationOf(Request) * HopelessPercent / 100 >
-         Request.Deadline;
+  return Now + durationOf(Request) * HopelessPercent / 100 > Request.Deadline;
 }
 
 bool slot_queue::fits(const slot_request &Request, instant Now) const {
