Don't run a call again whose own calls have no repeats left; test the new modules

Home nodes now tell how much of the repeat budgets below is used; a call is not run again above 30%. Ruled out: the entry nodes' own repeats, which stopped at their part.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -19,6 +19,9 @@
 /// by it.
 constexpr unsigned StarvedPermille = 100;
 constexpr unsigned LowestUrgency = ~0U;
+/// A call that is run again makes its own calls again, which no budget can hold
+/// back any more: it isn't, once this part of their budgets is used.
+constexpr unsigned MaxRepeatsBelowPermille = 300;
 /// Wait times are spread by so much of themselves, in percent, so that callers
 /// who were refused together don't return together.
 constexpr int WaitSpreadPercent = 50;
@@ -145,9 +148,10 @@
     Entry.OnNewVersion =
         !Split->second.New.empty() && Entry.Version == Split->second.New;
   }
-  Repeats.callStarted(Call.Service, Now);
   if (Call.Repeat)
     Repeats.noteRepeat(Call.Service, Now);
+  else
+    Repeats.callStarted(Call.Service, Now);
 }
 
 awaitable<entry_result> entry_router::run(entry_request Request,
@@ -181,10 +185,11 @@
   // A server that failed for want of what it calls fails again elsewhere.
   const endpoint_group *Group =
       findGroup(*Entry.View, Call.Service, Entry.Version);
-  bool Starved = Outcome == attempt_outcome::server_failed && Group &&
-                 worstUpTo(Picker.overload(*Group, Now).Downstream,
-                           LowestUrgency) > StarvedPermille;
-  return !Starved && Repeats.takeRepeat(Call.Service, Now);
+  overload_view Seen = Group ? Picker.overload(*Group, Now) : overload_view();
+  bool Starved = Outcome == attempt_outcome::server_failed &&
+                 worstUpTo(Seen.Downstream, LowestUrgency) > StarvedPermille;
+  return !Starved && Seen.RepeatsBelowPermille <= MaxRepeatsBelowPermille &&
+         Repeats.takeRepeat(Call.Service, Now);
 }
 
 bool entry_router::admit(const entry_call &Entry, instant Now) {
@@ -220,6 +225,14 @@
   return Worst;
 }
 
+unsigned entry_router::repeatsBelow(instant Now) {
+  double Most = 0;
+  for (const auto &[Service, SeenAt] : Children)
+    if (Now < SeenAt + ChildLifetime)
+      Most = std::max(Most, Repeats.usedPart(Service, Now));
+  return static_cast<unsigned>(std::min(Most, 1.0) * 1'000);
+}
+
 entry_result entry_router::refuseUnasked(entry_call &Entry,
                                          std::string Reason) {
   const mesh_call &Call = Entry.Call;
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -61,6 +61,8 @@
   /// Returns what is known of refusals at the services that the backend server
   /// beside this node has called of late.
   refused_shares downstream(instant Now) const;
+  /// Returns the most used repeat budget of these services, in permille.
+  unsigned repeatsBelow(instant Now);
 
 private:
   /// One call with what was decided about it.
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -169,6 +169,7 @@
   instant Now = currentTime();
   home_load Load = Queue.load(Now);
   Load.Downstream = Downstream;
+  Load.RepeatsBelowPermille = RepeatsBelowPermille;
   Load.FailedPermille = static_cast<unsigned>(Failures.value(Now) * 1'000);
   if (Now < UnreachableUntil)
     Load.Limit = 0;
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -50,7 +50,10 @@
   bool runsRepeat(const request_id &Id) const { return Repeats.contains(Id); }
   home_load load() const;
   /// Sets what is known of the services that the backend server calls.
-  void setDownstream(refused_shares Shares) { Downstream = std::move(Shares); }
+  void setDownstream(refused_shares Shares, unsigned RepeatsPermille) {
+    Downstream = std::move(Shares);
+    RepeatsBelowPermille = RepeatsPermille;
+  }
   std::size_t active() const { return Active; }
   /// Returns what this node has counted for its backend server so far.
   const evidence_by_route &evidence() const { return Evidence; }
@@ -97,6 +100,7 @@
   recent_share Failures{FailureHalfLife};
   evidence_by_route Evidence;
   refused_shares Downstream;
+  unsigned RepeatsBelowPermille = 0;
   std::unordered_set<request_id> Repeats; ///< of the calls that run now
   instant UnreachableUntil;
   std::uint64_t NextNumber = 0;
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -249,7 +249,7 @@
     if (Parts.SettingsTouched())
       reload("the file changed");
   }
-  Home.setDownstream(Router.downstream(Now));
+  Home.setDownstream(Router.downstream(Now), Router.repeatsBelow(Now));
   reportEvidence(Now);
   Moves.tick(Now, Registrar.lease());
 }
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -80,6 +80,8 @@
   Out.failed_permille = static_cast<std::int32_t>(Load.FailedPermille);
   Out.refused = toWire(Load.Refused);
   Out.downstream = toWire(Load.Downstream);
+  Out.repeats_below_permille =
+      static_cast<std::int32_t>(Load.RepeatsBelowPermille);
   return Out;
 }
 
@@ -92,6 +94,7 @@
   Load.FailedPermille = toCount(In.failed_permille);
   Load.Refused = fromWire(In.refused);
   Load.Downstream = fromWire(In.downstream);
+  Load.RepeatsBelowPermille = toCount(In.repeats_below_permille);
   return Load;
 }
 
--- a/src/libchivebeam/routing/arrival_budget.cpp
+++ b/src/libchivebeam/routing/arrival_budget.cpp
@@ -23,17 +23,27 @@
   partAt(Service, Now).Repeats += 1;
 }
 
-bool arrival_budget::takeRepeat(const service_name &Service, instant Now) {
-  part &Newest = partAt(Service, Now);
+std::pair<double, double>
+arrival_budget::usedAndAllowed(const service_name &Service, instant Now) {
+  partAt(Service, Now); // drops what is too old
   part Sum;
   for (const part &Part : Services[Service].Ring) {
     Sum.Calls += Part.Calls;
     Sum.Repeats += Part.Repeats;
   }
-  double Allowed = Limits.Ratio * Sum.Calls + Limits.Slack / Limits.Nodes;
-  if (Sum.Repeats + 1 > Allowed * UsedPart)
+  return {Sum.Repeats, Limits.Ratio * Sum.Calls + Limits.Slack / Limits.Nodes};
+}
+
+double arrival_budget::usedPart(const service_name &Service, instant Now) {
+  auto [Used, Allowed] = usedAndAllowed(Service, Now);
+  return Allowed > 0 ? Used / Allowed : 1;
+}
+
+bool arrival_budget::takeRepeat(const service_name &Service, instant Now) {
+  auto [Used, Allowed] = usedAndAllowed(Service, Now);
+  if (Used + 1 > Allowed * UsedPart)
     return false;
-  Newest.Repeats += 1;
+  noteRepeat(Service, Now);
   return true;
 }
 
--- a/src/libchivebeam/routing/arrival_budget.h
+++ b/src/libchivebeam/routing/arrival_budget.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <unordered_map>
+#include <utility>
 
 #include "base/names.h"
 #include "base/units.h"
@@ -30,6 +31,9 @@
   /// Returns whether a call may be sent to one more backend server, and if so
   /// counts it.
   bool takeRepeat(const service_name &Service, instant Now);
+  /// Returns the used part of what is allowed, which unavoidable repeats may
+  /// bring above 1.
+  double usedPart(const service_name &Service, instant Now);
   /// Counts a repeat that could not be avoided.
   void noteRepeat(const service_name &Service, instant Now);
 
@@ -49,6 +53,9 @@
     std::int64_t Newest = 0; ///< number of the newest part since the epoch
   };
 
+  /// Returns the repeats and what is allowed of them.
+  std::pair<double, double> usedAndAllowed(const service_name &Service,
+                                           instant Now);
   part &partAt(const service_name &Service, instant Now);
 
   arrival_limits Limits;
--- a/src/libchivebeam/routing/body_gate.h
+++ b/src/libchivebeam/routing/body_gate.h
@@ -12,9 +12,9 @@
 struct body_offer {
   call_number Call;
   std::uint64_t Bytes = 0;
-  instant Goal;         ///< an answer until then is worth most
-  instant Deadline;     ///< an answer after it is worth nothing
-  microseconds Run{0};  ///< how long the call runs once its body is here
+  instant Goal;        ///< an answer until then is worth most
+  instant Deadline;    ///< an answer after it is worth nothing
+  microseconds Run{0}; ///< how long the call runs once its body is here
 };
 
 enum class gate_answer {
--- a/src/libchivebeam/routing/expected_end_picker.cpp
+++ b/src/libchivebeam/routing/expected_end_picker.cpp
@@ -211,9 +211,11 @@
     Server.OpenAtReport = Server.Open;
     Server.ReportedAt = Now;
   }
-  if (Seen.NoRoom.count() > 0)
-    (Seen.LargeBody ? Server.Large : Server.Small) = {
-        Seen.Urgency, Now + std::clamp(Seen.NoRoom, MinNoRoom, MaxNoRoom)};
+  if (Seen.NoRoom.count() > 0) {
+    no_room &Known = Seen.LargeBody ? Server.Large : Server.Small;
+    Known.Urgency = Seen.Urgency;
+    Known.Until = Now + std::clamp(Seen.NoRoom, MinNoRoom, MaxNoRoom);
+  }
   if (Seen.Verdict == call_verdict::unreachable)
     Server.AvoidUntil = Now + AvoidTime;
   if (Seen.Verdict == call_verdict::served ||
@@ -271,18 +273,21 @@
   std::map<unsigned, unsigned> Own;
   std::map<unsigned, unsigned> Below;
   unsigned Known = 0;
+  unsigned RepeatsBelow = 0;
   for (const auto *Side : {&Group.Local, &Group.Remote})
     for (const endpoint &Endpoint : *Side) {
       const home_load *Load = recentLoad(Endpoint, Now);
       if (!Load)
         continue;
       ++Known;
+      RepeatsBelow += Load->RepeatsBelowPermille;
       for (const refused_share &Share : Load->Refused)
         Own[Share.Urgency] += Share.Permille;
       for (const refused_share &Share : Load->Downstream)
         Below[Share.Urgency] += Share.Permille;
     }
   overload_view View;
+  View.RepeatsBelowPermille = Known > 0 ? RepeatsBelow / Known : 0;
   for (const auto &[Urgency, Sum] : Own)
     View.Own.push_back({Urgency, Sum / Known});
   for (const auto &[Urgency, Sum] : Below)
--- a/src/libchivebeam/routing/home_load.h
+++ b/src/libchivebeam/routing/home_load.h
@@ -18,6 +18,8 @@
   unsigned FailedPermille = 0; ///< of late
   refused_shares Refused;      ///< of calls of outside callers, of late
   refused_shares Downstream;   ///< the same, at services that this one calls
+  /// Used part of the repeat budgets of services that this one calls.
+  unsigned RepeatsBelowPermille = 0;
 
   friend bool operator==(const home_load &, const home_load &) = default;
 };
--- a/src/libchivebeam/routing/root_admission.h
+++ b/src/libchivebeam/routing/root_admission.h
@@ -13,6 +13,8 @@
   refused_shares Downstream;
   /// Refused shares at the call's own service.
   refused_shares Own;
+  /// Used part of the repeat budgets of the services further down.
+  unsigned RepeatsBelowPermille = 0;
 };
 
 /// Refuses calls of outside callers before they take a slot, when a service
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -14,10 +14,10 @@
 struct slot_request {
   call_number Call;
   route_name Route;
-  unsigned Urgency = 0; ///< 0 is the most urgent
-  bool Nested = false;  ///< made by a backend server that runs another call
-  instant Goal;         ///< an answer until then is worth most
-  instant Deadline;     ///< an answer after it is worth nothing
+  unsigned Urgency = 0;  ///< 0 is the most urgent
+  bool Nested = false;   ///< made by a backend server that runs another call
+  instant Goal;          ///< an answer until then is worth most
+  instant Deadline;      ///< an answer after it is worth nothing
   microseconds Usual{0}; ///< such calls take so long elsewhere; zero: unknown
 };
 
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -140,6 +140,7 @@
   // Pairs of urgency and permille.
   6: map<i32, i32> refused
   7: map<i32, i32> downstream
+  8: i32 repeats_below_permille
 }
 
 struct home_record {
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -2719,6 +2719,10 @@
 void home_load::__set_downstream(const std::map<int32_t, int32_t> & val) {
   this->downstream = val;
 }
+
+void home_load::__set_repeats_below_permille(const int32_t val) {
+  this->repeats_below_permille = val;
+}
 std::ostream& operator<<(std::ostream& out, const home_load& obj)
 {
   obj.printTo(out);
@@ -2833,6 +2837,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->repeats_below_permille);
+          this->__isset.repeats_below_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2896,6 +2908,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("repeats_below_permille", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->repeats_below_permille);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2910,6 +2926,7 @@
   swap(a.failed_permille, b.failed_permille);
   swap(a.refused, b.refused);
   swap(a.downstream, b.downstream);
+  swap(a.repeats_below_permille, b.repeats_below_permille);
   swap(a.__isset, b.__isset);
 }
 
@@ -2921,6 +2938,7 @@
   failed_permille = other78.failed_permille;
   refused = other78.refused;
   downstream = other78.downstream;
+  repeats_below_permille = other78.repeats_below_permille;
   __isset = other78.__isset;
 }
 home_load& home_load::operator=(const home_load& other79) {
@@ -2931,6 +2949,7 @@
   failed_permille = other79.failed_permille;
   refused = other79.refused;
   downstream = other79.downstream;
+  repeats_below_permille = other79.repeats_below_permille;
   __isset = other79.__isset;
   return *this;
 }
@@ -2944,6 +2963,7 @@
   out << ", " << "failed_permille=" << to_string(failed_permille);
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "downstream=" << to_string(downstream);
+  out << ", " << "repeats_below_permille=" << to_string(repeats_below_permille);
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1109,7 +1109,7 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _home_load__isset {
-  _home_load__isset() : running(false), waiting(false), limit(false), service_time_us(false), failed_permille(false), refused(false), downstream(false) {}
+  _home_load__isset() : running(false), waiting(false), limit(false), service_time_us(false), failed_permille(false), refused(false), downstream(false), repeats_below_permille(false) {}
   bool running :1;
   bool waiting :1;
   bool limit :1;
@@ -1117,6 +1117,7 @@
   bool failed_permille :1;
   bool refused :1;
   bool downstream :1;
+  bool repeats_below_permille :1;
 } _home_load__isset;
 
 class home_load : public virtual ::apache::thrift::TBase {
@@ -1129,7 +1130,8 @@
               waiting(0),
               limit(0),
               service_time_us(0),
-              failed_permille(0) {
+              failed_permille(0),
+              repeats_below_permille(0) {
   }
 
   virtual ~home_load() noexcept;
@@ -1140,6 +1142,7 @@
   int32_t failed_permille;
   std::map<int32_t, int32_t>  refused;
   std::map<int32_t, int32_t>  downstream;
+  int32_t repeats_below_permille;
 
   _home_load__isset __isset;
 
@@ -1157,6 +1160,8 @@
 
   void __set_downstream(const std::map<int32_t, int32_t> & val);
 
+  void __set_repeats_below_permille(const int32_t val);
+
   bool operator == (const home_load & rhs) const
   {
     if (!(running == rhs.running))
@@ -1173,6 +1178,8 @@
       return false;
     if (!(downstream == rhs.downstream))
       return false;
+    if (!(repeats_below_permille == rhs.repeats_below_permille))
+      return false;
     return true;
   }
   bool operator != (const home_load &rhs) const {
--- a/tests/routing/attempt_policy_test.cpp
+++ b/tests/routing/attempt_policy_test.cpp
@@ -146,3 +146,23 @@
   for (int Call = 0; Call < 100; ++Call)
     BOOST_TEST(Splitter.choose(Route).str() == "b");
 }
+
+// Pattern: a call that is run again makes its own calls again. The entry nodes
+// of its service look at how much of the budget below is used.
+BOOST_AUTO_TEST_CASE(repeats_that_cannot_be_avoided_use_up_the_budget) {
+  arrival_limits Limits;
+  arrival_budget Budget(Limits);
+  service_name Service("kassa");
+  for (int Call = 0; Call < 100; ++Call)
+    Budget.callStarted(Service, Start);
+  BOOST_TEST(Budget.usedPart(Service, Start) == 0.0);
+  for (int Call = 0; Call < 10; ++Call)
+    Budget.noteRepeat(Service, Start);
+  BOOST_TEST(Budget.usedPart(Service, Start) == 0.5,
+             boost::test_tools::tolerance(0.01));
+  int Taken = 0;
+  while (Budget.takeRepeat(Service, Start))
+    ++Taken;
+  BOOST_TEST(Taken == 4);
+  BOOST_TEST(Budget.usedPart(Service, Start + Limits.Window * 2) == 1.0);
+}
--- a/tests/routing/expected_end_picker_test.cpp
+++ b/tests/routing/expected_end_picker_test.cpp
@@ -163,3 +163,32 @@
   BOOST_TEST(countOf(*View(), "1") == 0u);
   BOOST_TEST(View()->Splits.at(Desk).NewShare == FullShare);
 }
+
+// Pattern: a service without room. A home node that refused is not asked again
+// before there may be room, unless by a more urgent call or for other bodies.
+BOOST_AUTO_TEST_CASE(
+    a_home_node_that_refused_is_left_alone_as_long_as_it_said) {
+  two_servers Servers;
+  Servers.Needs.Urgency = 2;
+  call_observation Seen;
+  Seen.Verdict = call_verdict::refused;
+  Seen.Load = home_load{6, 0, 6, milliseconds(60), 0, {}, {}, 0};
+  Seen.NoRoom = milliseconds(200);
+  Seen.Urgency = 2;
+  Servers.Picker.callEnded(Desk, Servers.Group.Local[0], Seen, Start);
+  BOOST_TEST(Servers.pick() == "far");
+  Servers.Picker.callEnded(Desk, Servers.Group.Remote[0], Seen, Start);
+  BOOST_TEST(Servers.pick() == "");
+  BOOST_TEST(
+      Servers.Picker
+          .roomAfter(Servers.Group, Servers.Needs, Start + milliseconds(50))
+          .count() == 150'000);
+  Servers.Needs.Urgency = 1;
+  BOOST_TEST(Servers.pick() != "");
+  Servers.Needs.Urgency = 2;
+  Servers.Needs.Bytes = 60'000;
+  BOOST_TEST(Servers.pick() != "");
+  Servers.Needs.Bytes = 0;
+  BOOST_TEST(Servers.Picker.pickFor(Servers.Group, {}, Servers.Needs,
+                                    Start + milliseconds(210)) != nullptr);
+}
--- a/tests/routing/slot_queue_test.cpp
+++ b/tests/routing/slot_queue_test.cpp
@@ -119,3 +119,27 @@
   Outside.Goal = Start;
   BOOST_TEST(Queue.excessWait(Outside, Start).count() > Before.count());
 }
+
+// Pattern: many nodes find a new backend server at the same moment. Before it
+// has run a call, its queue is measured by what such calls take elsewhere.
+BOOST_AUTO_TEST_CASE(a_new_server_takes_no_more_than_it_can_serve) {
+  slot_queue Queue;
+  Queue.setSlots(6);
+  unsigned Taken = 0;
+  for (unsigned Number = 0; Number < 80; ++Number) {
+    slot_request Request = request(Number, milliseconds(400));
+    Request.Usual = milliseconds(250);
+    Taken += Queue.arrive(Request, Start) == slot_answer::refuse ? 0 : 1;
+  }
+  // Six run, and a few wait, for 150 ms at most; half as many as slots are
+  // late.
+  BOOST_TEST(Taken >= 6u);
+  BOOST_TEST(Taken <= 12u);
+}
+
+BOOST_AUTO_TEST_CASE(what_a_server_does_itself_counts_more_than_what_is_usual) {
+  slot_queue Queue = busyQueue(4);
+  slot_request Request = request(1, milliseconds(200), milliseconds(400));
+  Request.Usual = seconds(5);
+  BOOST_TEST((Queue.arrive(Request, Start) == slot_answer::wait));
+}
