Bring no version in beside an old one that fails; replace a dead conductor sooner

Ruled out: lost reports (711 calls of the new version were known). The judge of a mesh calls nothing good while a tenth of the old version's calls fail; the conductor's key has a lease of 2 s of its own, and feeds gather for 0.2 s only while a move is open.

--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -251,7 +251,7 @@
   }
   Home.setDownstream(Router.downstream(Now), Router.repeatsBelow(Now));
   reportEvidence(Now);
-  Moves.tick(Now, Registrar.lease());
+  Moves.tick(Now);
 }
 
 void mesh_node::followSuspension() {
--- a/src/chivebeam/mesh/move_desk.cpp
+++ b/src/chivebeam/mesh/move_desk.cpp
@@ -16,8 +16,17 @@
 /// backend servers of one version differ in speed by more than two.
 constexpr std::size_t SlowMargin = 4;
 
+/// A bad version must not get a tenth of its service's calls within seconds;
+/// while one call in ten fails anyway, it could not be told from a good one.
+constexpr double MaxOldFailures = 0.1;
+/// The conductor's key lapses soon after its node died, since a bad version may
+/// be on its way; another node takes over then.
+constexpr seconds ConductorLease{2};
+constexpr milliseconds ConductorKeepInterval{600};
+
 judge_settings meshJudge() {
   judge_settings Settings;
+  Settings.MaxOldFailures = MaxOldFailures;
   Settings.SlowMargin = SlowMargin;
   return Settings;
 }
@@ -83,20 +92,31 @@
                      [this](const auto &Item) { return isOpen(Item.second); });
 }
 
-void move_desk::tick(instant Now, lease_id Lease) {
+void move_desk::tick(instant Now) {
   if (!anyOpen())
     return;
-  if (Conductor.empty() && Lease.value() != 0 && !Claiming && Now >= ClaimAt) {
+  if (Conductor.empty() && !Claiming && Now >= ClaimAt) {
     ClaimAt = Now + ClaimInterval;
     Claiming = true;
-    asio::co_spawn(Context, claim(Lease), asio::detached);
+    asio::co_spawn(Context, claim(), asio::detached);
+  }
+  if (isConductor() && Now >= KeptAt + ConductorKeepInterval) {
+    KeptAt = Now;
+    asio::co_spawn(Context, keepLease(), asio::detached);
   }
   for (auto &[Service, Move] : Ordered)
     if (isConductor() && isOpen(Move))
       conduct(Move, Now);
 }
 
-awaitable<void> move_desk::claim(lease_id Lease) {
+awaitable<void> move_desk::claim() {
+  result<lease_id> Granted = co_await Store.grantLease(ConductorLease);
+  if (!Granted) {
+    Claiming = false;
+    co_return;
+  }
+  Lease = *Granted;
+  KeptAt = currentTime();
   store_transaction Change;
   Change.Conditions.push_back({mesh_keys::conductor(), store_revision()});
   Change.Puts.push_back({mesh_keys::conductor(), Settings.Node.str(), Lease});
@@ -106,6 +126,14 @@
     takeConductor(Settings.Node);
 }
 
+awaitable<void> move_desk::keepLease() {
+  result<bool> Kept = co_await Store.keepLease(Lease);
+  // While the store is away, whoever conducted goes on: what it decides is
+  // written on the condition of what it read last.
+  if (Kept && !*Kept)
+    conductorVanished();
+}
+
 void move_desk::conduct(ordered_move &Move, instant Now) {
   const service_name &Service = Move.Order.Service;
   service_move Current = State.moves().at(Service);
--- a/src/chivebeam/mesh/move_desk.h
+++ b/src/chivebeam/mesh/move_desk.h
@@ -30,9 +30,8 @@
   /// True if an order has no verdict yet.
   bool anyOpen() const;
 
-  /// Decides what is due. Called several times a second with the lease of this
-  /// node.
-  void tick(instant Now, lease_id Lease);
+  /// Decides what is due. Called several times a second.
+  void tick(instant Now);
   /// Sends the conductor what this node has counted, if a move of the service
   /// is under way.
   void report(const service_name &Service, const version_name &Version,
@@ -51,7 +50,8 @@
   bool isConductor() const { return Conductor == Settings.Node; }
   /// True if the order has no verdict yet.
   bool isOpen(const ordered_move &Move) const;
-  awaitable<void> claim(lease_id Lease);
+  awaitable<void> claim();
+  awaitable<void> keepLease();
   void conduct(ordered_move &Move, instant Now);
   void spread(const service_move &Move);
   awaitable<void> save(service_name Service);
@@ -73,6 +73,8 @@
   node_id Conductor;
   bool Claiming = false;
   instant ClaimAt;
+  lease_id Lease; ///< of the conductor's key, if this node wrote it
+  instant KeptAt;
   incarnation Life; ///< tells the reports of this process from earlier ones
   std::uint64_t ReportSequence = 0;
 };
--- a/src/chivebeam/mesh/node_registrar.h
+++ b/src/chivebeam/mesh/node_registrar.h
@@ -28,8 +28,6 @@
   /// Writes that the backend server leaves, so that the next process beside it
   /// knows. Waits a bounded time; returns whether the store has it.
   awaitable<bool> persistLeaving(const home_record &Record);
-  /// The present lease; zero if there is none.
-  lease_id lease() const { return Lease; }
 
 private:
   awaitable<bool> ensureLease();
--- a/src/chivebeam/mesh/store_feed.cpp
+++ b/src/chivebeam/mesh/store_feed.cpp
@@ -19,6 +19,8 @@
 constexpr microseconds MinStormPause = milliseconds(900);
 constexpr microseconds MaxStormPause = milliseconds(1'200);
 constexpr int PausePerListing = 3;
+/// While changes are urgent, the feed waits no longer than this for others.
+constexpr milliseconds UrgentGather{200};
 /// After a start or an outage all nodes write their entries anew; for so long
 /// the feed watches.
 constexpr milliseconds SettleTime{6'000};
@@ -48,8 +50,7 @@
 }
 
 bool store_feed::mayPoll() const {
-  bool Urgent = Pace.IsUrgent && Pace.IsUrgent();
-  return Pace.Poll.count() > 0 && !Urgent && currentTime() >= SettledAt;
+  return Pace.Poll.count() > 0 && !isUrgent() && currentTime() >= SettledAt;
 }
 
 void store_feed::noteContact(bool Reached, std::string_view Why) {
@@ -119,7 +120,8 @@
     bool Intact = co_await watch();
     if (!Intact || Pausing)
       co_return Intact;
-    co_await sleepFor(Pace.Gather);
+    co_await sleepFor(isUrgent() ? std::min(Pace.Gather, UrgentGather)
+                                 : Pace.Gather);
     co_await poll();
   }
 }
--- a/src/chivebeam/mesh/store_feed.h
+++ b/src/chivebeam/mesh/store_feed.h
@@ -52,6 +52,7 @@
   /// Lists cheaply for as long as that is enough.
   awaitable<void> poll();
   bool mayPoll() const;
+  bool isUrgent() const { return Pace.IsUrgent && Pace.IsUrgent(); }
   /// The pause in a storm: most of the time the link is left to calls.
   microseconds stormPause() const;
   /// Returns true if it ended only for a pause.
--- a/src/libchivebeam/moves/sequential_judge.cpp
+++ b/src/libchivebeam/moves/sequential_judge.cpp
@@ -170,6 +170,13 @@
           Both.Log};
 }
 
+bool sequential_judge::isTooNoisy(const evidence_window &Window) const {
+  route_evidence Old = totalOf(Window.Old);
+  return Old.Calls >= MinStepCalls &&
+         static_cast<double>(Old.Failures) >
+             static_cast<double>(Old.Calls) * Settings.MaxOldFailures;
+}
+
 judgement_result sequential_judge::judge(const move_evidence &Evidence) const {
   static const evidence_window Nothing;
   evidence_window Total = totalOf(Evidence);
@@ -205,6 +212,10 @@
   if (Most >= LeaningLog)
     return {judgement::undecided,
             "the figures lean against the new version: " + Figures, Most};
+  if (isTooNoisy(Evidence.SinceStep) || isTooNoisy(Evidence.Recent))
+    return {judgement::undecided,
+            "the old version fails too often to compare with: " + Figures,
+            Most};
   if (totalOf(Evidence.SinceStep.New).Calls < MinStepCalls)
     return {judgement::undecided, "few calls so far: " + Figures, Most};
   return {judgement::good, Figures, Most};
--- a/src/libchivebeam/moves/sequential_judge.h
+++ b/src/libchivebeam/moves/sequential_judge.h
@@ -15,6 +15,9 @@
   /// a call beyond is slow. One bucket, so that a small difference across a
   /// bucket's edge does not count.
   std::size_t SlowMargin = 1;
+  /// Failed part of the old version's calls in a step from which on that step
+  /// shows nothing good of the new one either: it is not raised on them.
+  double MaxOldFailures = 1;
 };
 
 /// Judges by evidence that stays valid however often it is looked at (see
@@ -29,6 +32,9 @@
   judgement_result judge(const move_evidence &Evidence) const override;
 
 private:
+  /// True if the old version fails so often that no failure of the new one
+  /// would stand out.
+  bool isTooNoisy(const evidence_window &Window) const;
   judgement_result holdAgainstRecord(const move_evidence &Evidence,
                                      const evidence_by_route &Record,
                                      const slow_bounds &Bounds) const;
--- a/tests/moves/moves_test.cpp
+++ b/tests/moves/moves_test.cpp
@@ -172,6 +172,24 @@
               judgement::good));
 }
 
+// Pattern: every server of a service below refuses half of its calls while a
+// bad version is brought in (users' bench, large site).
+BOOST_AUTO_TEST_CASE(nothing_is_called_good_beside_an_old_version_that_fails) {
+  judge_settings Settings;
+  Settings.MaxOldFailures = 0.1;
+  sequential_judge Judge(Settings);
+  move_evidence Evidence;
+  Evidence.SinceStep = Evidence.Recent =
+      window(calls(1'000, 450), calls(100, 32));
+  BOOST_TEST((Judge.judge(Evidence).Judgement == judgement::undecided));
+  Evidence.SinceStep = Evidence.Recent =
+      window(calls(1'000, 20), calls(100, 2));
+  BOOST_TEST((Judge.judge(Evidence).Judgement == judgement::good));
+  Evidence.SinceStep = Evidence.Recent =
+      window(calls(1'000, 200), calls(100, 90));
+  BOOST_TEST((Judge.judge(Evidence).Judgement == judgement::bad));
+}
+
 BOOST_AUTO_TEST_CASE(a_set_time_too_near_is_refused_at_once) {
   move_rule Rule = makeRule();
   Rule.By = Start + seconds(10);
