--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -310,6 +310,7 @@
     return;
   Stopping = true;
   Sessions.Draining = true;
+  Moves.resign();
   log_event("node_stopping")
       .add("node", Settings.Node)
       .add("open_calls", Router.openCalls())
--- a/src/chivebeam/mesh/move_desk.cpp
+++ b/src/chivebeam/mesh/move_desk.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds ClaimInterval{400};
 /// Buckets beyond the old version's ninth tenth at which a call is slow: the
 /// backend servers of one version differ in speed by more than two.
-constexpr std::size_t SlowMargin = 4;
+constexpr std::size_t SlowMargin = 3;
 
 /// A bad version must not get a tenth of its service's calls within seconds;
 /// while one call in ten fails anyway, it could not be told from a good one.
@@ -95,7 +95,8 @@
 void move_desk::tick(instant Now) {
   if (!anyOpen())
     return;
-  if (Conductor.empty() && !Claiming && Now >= ClaimAt) {
+  bool MayClaim = Conductor.empty() && !Claiming && !Resigned;
+  if (MayClaim && Now >= ClaimAt) {
     ClaimAt = Now + ClaimInterval;
     Claiming = true;
     asio::co_spawn(Context, claim(), asio::detached);
@@ -109,6 +110,20 @@
       conduct(Move, Now);
 }
 
+void move_desk::resign() {
+  Resigned = true;
+  if (!isConductor())
+    return;
+  conductorVanished();
+  asio::co_spawn(Context, revokeLease(), asio::detached);
+}
+
+awaitable<void> move_desk::revokeLease() {
+  result<void> Revoked = co_await Store.revokeLease(Lease);
+  if (!Revoked) // it lapses by itself
+    log_event("conductor_not_released").add("error", Revoked.error().text());
+}
+
 awaitable<void> move_desk::claim() {
   result<lease_id> Granted = co_await Store.grantLease(ConductorLease);
   if (!Granted) {
@@ -122,7 +137,10 @@
   Change.Puts.push_back({mesh_keys::conductor(), Settings.Node.str(), Lease});
   result<transaction_answer> Answer = co_await Store.commit(std::move(Change));
   Claiming = false;
-  if (Answer && Answer->Succeeded)
+  bool Claimed = Answer && Answer->Succeeded;
+  if (Claimed && Resigned)
+    co_return co_await revokeLease();
+  if (Claimed)
     takeConductor(Settings.Node);
 }
 
--- a/src/chivebeam/mesh/move_desk.h
+++ b/src/chivebeam/mesh/move_desk.h
@@ -30,6 +30,9 @@
   /// True if an order has no verdict yet.
   bool anyOpen() const;
 
+  /// This node stops: another is to conduct from now on.
+  void resign();
+
   /// Decides what is due. Called several times a second.
   void tick(instant Now);
   /// Sends the conductor what this node has counted, if a move of the service
@@ -52,6 +55,7 @@
   bool isOpen(const ordered_move &Move) const;
   awaitable<void> claim();
   awaitable<void> keepLease();
+  awaitable<void> revokeLease();
   void conduct(ordered_move &Move, instant Now);
   void spread(const service_move &Move);
   awaitable<void> save(service_name Service);
@@ -72,6 +76,7 @@
   std::map<service_name, ordered_move> Ordered;
   node_id Conductor;
   bool Claiming = false;
+  bool Resigned = false;
   instant ClaimAt;
   lease_id Lease; ///< of the conductor's key, if this node wrote it
   instant KeptAt;
