--- a/tests/routing/body_gate_test.cpp
+++ b/tests/routing/body_gate_test.cpp
@@ -61,7 +61,7 @@
   random_source Random(7);
   instant Next = Start;
   unsigned Number = 0;
-  auto endUntil = [&](instant Limit) {
+  auto EndUntil = [&](instant Limit) {
     while (!Ends.empty() && Ends.begin()->first <= Limit) {
       auto [At, Done] = *Ends.begin();
       Ends.erase(Ends.begin());
@@ -73,7 +73,7 @@
     }
   };
   while (Next < Start + seconds(20)) {
-    endUntil(Next);
+    EndUntil(Next);
     Arrived[++Number] = Next;
     gate_answer Answer =
         Gated ? Gate.offer(offer(Number, Next), Next) : gate_answer::send;
@@ -83,7 +83,7 @@
     auto Mean = static_cast<std::uint64_t>(2e6 / PerSecond);
     Next += microseconds(Random.below(Mean) + 1);
   }
-  endUntil(Start + seconds(40));
+  EndUntil(Start + seconds(40));
 }
 
 } // namespace
