--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -13,8 +13,6 @@
 constexpr milliseconds NobodyWait{300};
 /// When no home node has room, slots free up within a few calls.
 constexpr milliseconds NoRoomWait{100};
-/// A service counts as called by the backend server for so long.
-constexpr milliseconds ChildLifetime{3'000};
 /// Refused share downstream from which on a server's failure counts as caused
 /// by it.
 constexpr unsigned StarvedPermille = 100;
@@ -195,7 +193,7 @@
 bool entry_router::admit(const entry_call &Entry, instant Now) {
   const mesh_call &Call = Entry.Call;
   if (Call.Nested) {
-    Children[Call.Service] = Now;
+    Children.called(Call.Service, Now);
     return true;
   }
   const endpoint_group *Group =
@@ -208,10 +206,9 @@
   refused_shares Worst;
   if (!State.view())
     return Worst;
-  for (const auto &[Service, SeenAt] : Children) {
+  for (const service_name &Service : Children.current(Now)) {
     auto Versions = State.view()->Endpoints.find(Service);
-    if (Now >= SeenAt + ChildLifetime ||
-        Versions == State.view()->Endpoints.end())
+    if (Versions == State.view()->Endpoints.end())
       continue;
     for (const auto &[Version, Group] : Versions->second)
       for (const refused_share &Share : Picker.overload(Group, Now).Own)
@@ -227,9 +224,8 @@
 
 unsigned entry_router::repeatsBelow(instant Now) {
   double Most = 0;
-  for (const auto &[Service, SeenAt] : Children)
-    if (Now < SeenAt + ChildLifetime)
-      Most = std::max(Most, Repeats.usedPart(Service, Now));
+  for (const service_name &Service : Children.current(Now))
+    Most = std::max(Most, Repeats.usedPart(Service, Now));
   return static_cast<unsigned>(std::min(Most, 1.0) * 1'000);
 }
 
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -6,6 +6,7 @@
 #include "mesh/mesh_state.h"
 #include "mesh/peer_hub.h"
 #include "routing/arrival_budget.h"
+#include "routing/called_services.h"
 #include "routing/expected_end_picker.h"
 #include "routing/version_splitter.h"
 #include "routing/weighted_splitter.h"
@@ -68,8 +69,7 @@
   /// One call with what was decided about it.
   struct entry_call {
     fleet_view_ptr View;
-    microseconds Assumed{
-        0}; ///< how long it runs, before any such call was seen
+    microseconds Assumed{0}; ///< how long it runs, until one was seen
     version_name Version;
     bool OnNewVersion = false;
     mesh_call Call;
@@ -121,8 +121,7 @@
   expected_end_picker Picker;
   arrival_budget Repeats;
   root_admission Roots;
-  /// Services that nested calls went to, with the time of the last one.
-  std::unordered_map<service_name, instant> Children;
+  called_services Children;
   /// Calls that were refused here without asking a home node, since the last
   /// call of that service and urgency.
   std::map<std::pair<service_name, unsigned>, unsigned> Unasked;
--- a/src/chivebeam/mesh/store_feed.cpp
+++ b/src/chivebeam/mesh/store_feed.cpp
@@ -21,9 +21,6 @@
 constexpr int PausePerListing = 3;
 /// While changes are urgent, the feed waits no longer than this for others.
 constexpr milliseconds UrgentGather{200};
-/// After a start or an outage all nodes write their entries anew; for so long
-/// the feed watches.
-constexpr milliseconds SettleTime{6'000};
 
 /// Up to the whole of Longest, so that nodes don't come back together.
 microseconds jitter(microseconds Longest) {
@@ -146,7 +143,7 @@
 
 awaitable<void> store_feed::run() {
   for (;;) {
-    SettledAt = Pausing ? SettledAt : currentTime() + SettleTime;
+    SettledAt = Pausing ? SettledAt : currentTime() + Pace.Settle;
     bool Intact = co_await list();
     if (Intact) {
       Backoff = microseconds(0);
--- a/src/chivebeam/mesh/store_feed.h
+++ b/src/chivebeam/mesh/store_feed.h
@@ -24,6 +24,9 @@
   /// Between listings that may be old and cost little, once the feed has
   /// settled; zero: it always watches.
   milliseconds Poll{0};
+  /// After a start or an outage all nodes write their entries anew: the feed
+  /// has settled so long after its last break.
+  milliseconds Settle{6'000};
   /// Returns whether changes have to be known at once; null: never.
   std::function<bool()> IsUrgent;
 };
--- a/src/libchivebeam/routing/body_gate.h
+++ b/src/libchivebeam/routing/body_gate.h
@@ -8,6 +8,10 @@
 
 namespace chivebeam {
 
+/// Bodies beyond this size count as large: they cost more to send than a call
+/// costs otherwise.
+inline constexpr std::size_t LargeBodyBytes = 16 << 10;
+
 /// A call whose body an entry node would send. A plain value.
 struct body_offer {
   call_number Call;
--- /dev/null
+++ b/src/libchivebeam/routing/called_services.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "base/names.h"
+#include "base/units.h"
+
+namespace chivebeam {
+
+/// The services that the backend server beside a node has called of late, as
+/// its nested calls show. Not thread safe.
+class called_services {
+public:
+  /// A service counts as called for so long after its last call.
+  static constexpr milliseconds Lifetime{3'000};
+
+  void called(const service_name &Service, instant Now);
+  std::vector<service_name> current(instant Now) const;
+
+private:
+  std::unordered_map<service_name, instant> LastCall;
+};
+
+} // namespace chivebeam
--- a/src/libchivebeam/routing/expected_end_picker.h
+++ b/src/libchivebeam/routing/expected_end_picker.h
@@ -3,6 +3,7 @@
 #include <unordered_map>
 
 #include "base/random.h"
+#include "routing/body_gate.h"
 #include "routing/picking_policy.h"
 #include "routing/recent_share.h"
 #include "routing/root_admission.h"
@@ -19,10 +20,6 @@
   unsigned Urgency = 0; ///< 0 is the most urgent
 };
 
-/// Bodies beyond this size count as large: they cost more to send than a call
-/// costs otherwise.
-inline constexpr std::size_t LargeBodyBytes = 16 << 10;
-
 /// Chooses the backend server that is expected to answer first, from the load
 /// that home nodes write on their answers and this node's own open calls. In a
 /// small group all are compared, in a large one a few random ones. The local
--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -9,6 +9,8 @@
 #include "node/node_settings.h"
 #include "sessions/move_journal.h"
 #include "wire/node_messages.h"
+#include "wire/packed_text.h"
+#include "wire/peer_frame.h"
 
 namespace chivebeam::fuzz {
 
@@ -92,11 +94,38 @@
   requireRemedies(readJournalEntry(Bytes));
 }
 
+void runFrame(std::string_view Bytes) {
+  if (Bytes.size() < FramePrefixBytes)
+    return;
+  result<frame_sizes> Sizes =
+      decodeFrameSizes(Bytes.substr(0, FramePrefixBytes));
+  if (!Sizes)
+    return requireRemedy(Sizes.error());
+  std::string_view Rest = Bytes.substr(FramePrefixBytes);
+  std::string_view Head = Rest.substr(0, Sizes->Head);
+  std::string Body(Rest.substr(Head.size()));
+  result<peer_frame> Frame =
+      decodeFrame(Head, std::move(Body), instant(seconds(1)));
+  if (!Frame)
+    requireRemedy(Frame.error());
+}
+
+void runPackedText(std::string_view Bytes) {
+  constexpr std::size_t MaxBytes = 1 << 20;
+  result<std::string> Text = unpackText(Bytes, MaxBytes);
+  if (!Text)
+    return requireRemedy(Text.error());
+  result<std::string> Again = unpackText(packText(*Text), MaxBytes * 2);
+  if (!Again || *Again != *Text)
+    throw std::logic_error("what was unpacked can't be packed and unpacked");
+}
+
 constexpr fuzz_target Targets[] = {
     {"settings", runSettings}, {"source", runSource},
     {"chart", runChart},       {"announcement", runAnnouncement},
     {"datagram", runDatagram}, {"membership", runMembership},
-    {"journal", runJournal},
+    {"journal", runJournal},   {"frame", runFrame},
+    {"packed", runPackedText},
 };
 
 } // namespace
--- a/tests/mesh/calls_test.cpp
+++ b/tests/mesh/calls_test.cpp
@@ -282,3 +282,30 @@
     BOOST_TEST(statusOf(Answer) == 504u);
   });
 }
+
+// Large bodies are offered to their home node, which lets them through in turn.
+BOOST_AUTO_TEST_CASE(large_bodies_come_whole_over_a_link_that_takes_few) {
+  mesh_fixture Mesh;
+  Mesh.LinkBytesPerSecond = 2e6; // three of them at a time
+  Mesh.configure(1, {"desk", "kassa"});
+  Mesh.addNode("desk");
+  Mesh.addNode("kassa", "zone-a", 8);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    unsigned Open = 6;
+    for (unsigned Call = 0; Call < 6; ++Call)
+      asio::co_spawn(
+          Mesh.context(),
+          [&, Call]() -> awaitable<void> {
+            std::string Body(40'000, static_cast<char>('a' + Call));
+            auto Answer = co_await Mesh.call(
+                0, Mesh.post("/pay/kassa/1", "p" + std::to_string(Call), Body));
+            BOOST_TEST(statusOf(Answer) == 200u);
+            BOOST_TEST((Answer && Answer->body() == "w-1:" + Body));
+            --Open;
+          },
+          asio::detached);
+    co_await Mesh.until([&] { return Open == 0; });
+    BOOST_TEST(Mesh.worker(1).Received.size() == 6u);
+  });
+}
--- a/tests/mesh/changes_test.cpp
+++ b/tests/mesh/changes_test.cpp
@@ -19,11 +19,7 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(nothing_is_passed_to_a_server_that_was_told_it_may_leave) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     unsigned Acknowledged = co_await Mesh.leave(1);
@@ -42,9 +38,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_next_process_beside_a_leaving_server_knows_of_it) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"kassa"});
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"kassa"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     co_await Mesh.leave(0);
@@ -57,9 +51,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_new_process_takes_over_a_living_server_at_once) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"kassa"});
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"kassa"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     co_await Mesh.replaceNode(0);
@@ -70,10 +62,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(other_nodes_call_a_server_again_after_its_node_restarted) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"desk", "kassa"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     co_await Mesh.replaceNode(1);
@@ -113,10 +102,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(calls_go_on_while_the_store_is_away_and_leases_lapse) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"desk", "kassa"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     co_await Mesh.call(0, Mesh.get("/kassa/1", "r0"));
@@ -133,9 +119,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_history_that_is_gone_is_read_anew) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk"});
-  Mesh.addNode("desk");
+  mesh_fixture Mesh({"desk"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     Mesh.store().Switches.Compacted = true;
@@ -164,11 +148,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_stopping_node_serves_on_and_then_ends) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     Mesh.node(1).beginStop();
@@ -186,9 +166,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_report_that_makes_no_sense_changes_nothing) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"kassa"});
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"kassa"});
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     Mesh.worker(0).Service = "nobody";
@@ -203,18 +181,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_good_version_is_moved_to_by_its_time) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
   Mesh.run([&]() -> awaitable<void> {
     Mesh.worker(2).Version = "v2";
-    Mesh.store().put(
-        "op/rollout/kassa",
-        R"({"service": "kassa", "targetVersion": "v2", "durationS": 14})");
+    Mesh.orderMove("kassa");
     co_await Mesh.ready();
-    auto Status = [&] { return Mesh.store().value("status/rollout/kassa"); };
+    auto Status = [&] { return Mesh.moveStatus("kassa"); };
     auto IsOver = [&] {
       return Status().find("completed") != std::string::npos ||
              Status().find("rolled_back") != std::string::npos;
@@ -234,11 +206,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_bad_version_is_taken_back) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
   Mesh.run([&]() -> awaitable<void> {
     Mesh.worker(2).Version = "v2";
     Mesh.worker(2).Script.Answer =
@@ -250,13 +218,10 @@
       error_code Code;
       co_await http::async_write(Socket, Answer, orError(Code));
     };
-    Mesh.store().put(
-        "op/rollout/kassa",
-        R"({"service": "kassa", "targetVersion": "v2", "durationS": 14})");
+    Mesh.orderMove("kassa");
     co_await Mesh.ready();
     auto IsTakenBack = [&] {
-      return Mesh.store().value("status/rollout/kassa").find("rolled_back") !=
-             std::string::npos;
+      return Mesh.moveStatus("kassa").find("rolled_back") != std::string::npos;
     };
     int Call = 0;
     for (; Call < 3'000 && !IsTakenBack(); ++Call) {
@@ -272,20 +237,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_ordered_version_gets_nothing_before_its_move_begins) {
-  mesh_fixture Mesh;
-  Mesh.configure(1, {"desk", "kassa"});
-  Mesh.addNode("desk");
-  Mesh.addNode("kassa");
-  Mesh.addNode("kassa");
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
   Mesh.run([&]() -> awaitable<void> {
-    Mesh.store().put(
-        "op/rollout/kassa",
-        R"({"service": "kassa", "targetVersion": "v2", "durationS": 14})");
+    Mesh.orderMove("kassa");
     Mesh.worker(2).Version = "v2";
     co_await Mesh.ready();
     co_await Mesh.until([&] {
-      return Mesh.store().value("status/rollout/kassa").find("running") !=
-             std::string::npos;
+      return Mesh.moveStatus("kassa").find("running") != std::string::npos;
     });
     for (int Call = 0; Call < 10; ++Call) {
       auto Answer = co_await Mesh.call(
@@ -295,3 +253,64 @@
     BOOST_TEST(Mesh.worker(2).Received.empty());
   });
 }
+
+// Found on the users' bench: a stopping node conducted a move for seconds more,
+// and what it decided came too late. The key changes hands while it still runs.
+BOOST_AUTO_TEST_CASE(a_stopping_conductor_hands_its_moves_over_at_once) {
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
+  Mesh.run([&]() -> awaitable<void> {
+    Mesh.worker(2).Version = "v2";
+    Mesh.orderMove("kassa");
+    co_await Mesh.ready();
+    auto Conductor = [&] { return Mesh.store().value("chivebeam/conductor"); };
+    co_await Mesh.until([&] { return !Conductor().empty(); });
+    std::string First = Conductor();
+    std::size_t Index = 0;
+    while (Mesh.node(Index).settings().Node.str() != First)
+      ++Index;
+    Mesh.node(Index).beginStop();
+    co_await Mesh.until([&] {
+      return Mesh.stopped(Index) ||
+             (!Conductor().empty() && Conductor() != First);
+    });
+    BOOST_TEST(!Mesh.stopped(Index));
+    BOOST_TEST(Conductor() != First);
+    BOOST_TEST(!Conductor().empty());
+  });
+}
+
+// Found on the users' bench: a stopping node took calls until its process ended
+// and gave them up then.
+BOOST_AUTO_TEST_CASE(a_call_that_comes_late_to_a_stopping_node_is_refused) {
+  mesh_fixture Mesh({"desk", "kassa"});
+  Mesh.configure(2, {"desk", "kassa"}, 5.0);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    // Keeps the node from ending before calls come late.
+    Mesh.worker(0).Script.Work = milliseconds(3'600);
+    std::optional<text_answer> Long;
+    bool Ended = false;
+    asio::co_spawn(
+        Mesh.context(),
+        [&]() -> awaitable<void> {
+          Long = co_await Mesh.call(0, Mesh.get("/desk/1", "long", 5'000));
+          Ended = true;
+        },
+        asio::detached);
+    co_await Mesh.until([&] { return Mesh.worker(0).Running == 1; });
+    Mesh.node(0).beginStop();
+    unsigned Served = 0;
+    std::optional<text_answer> Answer;
+    for (int Call = 0; !Ended && statusOf(Answer) != 503; ++Call) {
+      Answer = co_await Mesh.call(
+          0, Mesh.get("/kassa/1", "r" + std::to_string(Call)));
+      Served += statusOf(Answer) == 200 ? 1 : 0;
+      co_await Mesh.pause(milliseconds(20));
+    }
+    BOOST_TEST(Served > 0u);
+    BOOST_REQUIRE(statusOf(Answer) == 503u);
+    BOOST_TEST(!(*Answer)["Retry-After"].empty());
+    co_await Mesh.until([&] { return Ended; });
+    BOOST_TEST(statusOf(Long) == 200u);
+  });
+}
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -1,5 +1,7 @@
 #include "mesh_fixture.h"
 
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 #include "platform/http_dialect.h"
@@ -55,6 +57,14 @@
       Store(std::make_unique<stand_ins::platform_store>(*Context)),
       StoreAddress(Store->listen()) {}
 
+mesh_fixture::mesh_fixture(const std::vector<std::string> &Services)
+    : mesh_fixture() {
+  std::set<std::string> Names(Services.begin(), Services.end());
+  configure(1, {Names.begin(), Names.end()});
+  for (const std::string &Service : Services)
+    addNode(Service);
+}
+
 mesh_fixture::~mesh_fixture() {
   Context->stop();
   keepForever(std::move(Context));
@@ -107,6 +117,7 @@
   Settings.Peers = AnyPort;
   Settings.Worker = Worker.Server->bound();
   Settings.Store = StoreAddress;
+  Settings.LinkBytesPerSecond = LinkBytesPerSecond;
   Settings.Repeats.Slack = 100;
   Stopped.push_back(false);
   Nodes.emplace_back();
@@ -160,6 +171,12 @@
   Store->put("op/config", json::serialize(Config));
 }
 
+void mesh_fixture::orderMove(const std::string &Service) {
+  json::object Order{
+      {"service", Service}, {"targetVersion", "v2"}, {"durationS", 14}};
+  Store->put("op/rollout/" + Service, json::serialize(Order));
+}
+
 awaitable<unsigned> mesh_fixture::report(std::size_t Index, std::string State) {
   mesh_worker &Worker = *Workers[Index];
   json::object Body{{"address", Worker.Server->bound().text()},
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -34,6 +34,9 @@
 class mesh_fixture {
 public:
   mesh_fixture();
+  /// Makes a node beside a backend server of each of Services, and a
+  /// configuration with number 1 that names them.
+  explicit mesh_fixture(const std::vector<std::string> &Services);
   ~mesh_fixture();
 
   /// Adds a node with a backend server beside it; returns its index.
@@ -46,6 +49,11 @@
   mesh_node &node(std::size_t Index) { return *Nodes[Index]; }
   mesh_worker &worker(std::size_t Index) { return *Workers[Index]; }
   stand_ins::platform_store &store() { return *Store; }
+  /// Orders a move of the service to version v2 within 14 s.
+  void orderMove(const std::string &Service);
+  std::string moveStatus(const std::string &Service) const {
+    return Store->value("status/rollout/" + Service);
+  }
   asio::io_context &context() { return *Context; }
 
   /// Writes a configuration in which /SERVICE/ leads to each service, safe,
@@ -71,6 +79,8 @@
   /// Lets other work go on for a while.
   awaitable<void> pause(milliseconds Time) { return sleepFor(Time); }
 
+  double LinkBytesPerSecond = 0; ///< of nodes that are added from now on
+
 private:
   void startNode(std::size_t Index, mesh_settings Settings);
   scripted_worker::script serverOf(mesh_worker &Worker);
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -143,3 +143,25 @@
     BOOST_TEST(Pair.Server.Calls == Before);
   });
 }
+
+BOOST_AUTO_TEST_CASE(a_listing_of_many_pages_is_whole) {
+  store_pair Pair;
+  Pair.Server.PageItems = 3;
+  for (int Key = 100; Key < 110; ++Key)
+    Pair.Server.put("k/" + std::to_string(Key), std::to_string(Key));
+  Pair.run([&]() -> awaitable<void> {
+    auto All = co_await Pair.Client.range("k/", true);
+    BOOST_REQUIRE(All);
+    BOOST_REQUIRE(All->Entries.size() == 10u);
+    BOOST_TEST(All->Entries.back().Value == "109");
+    BOOST_TEST(Pair.Server.StaleReads == 0u);
+    auto Old = co_await Pair.Client.staleRange("k/");
+    BOOST_REQUIRE(Old);
+    BOOST_TEST(Old->Entries.size() == 10u);
+    BOOST_TEST(Pair.Server.StaleReads == 4u);
+    auto Page = co_await Pair.Client.page("k/", "k/104", 2);
+    BOOST_REQUIRE(Page);
+    BOOST_REQUIRE(Page->Entries.size() == 2u);
+    BOOST_TEST(Page->Entries[0].Key == "k/105");
+  });
+}
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/http_dialect.h"
 #include "platform/operator_orders.h"
 #include "platform/settings_file.h"
+#include "wire/packed_text.h"
 #include "wire/peer_frame.h"
 
 using namespace chivebeam;
@@ -239,6 +240,8 @@
   Call.Goal = Now - milliseconds(10);
   Call.Idempotent = true;
   Call.Unasked = 5;
+  Call.Usual = milliseconds(60);
+  Call.OfferedBytes = 70'000;
   Frame.Request = Call;
   std::string Bytes = encodeFrameHead(Frame, Now);
   result<frame_sizes> Sizes = decodeFrameSizes(Bytes);
@@ -254,10 +257,40 @@
   BOOST_TEST(*Back->Request->Body == "body");
   BOOST_TEST((Back->Request->Deadline == Now + seconds(5) + milliseconds(700)));
   BOOST_TEST(Back->Request->Unasked == 5u);
+  BOOST_TEST(Back->Request->Usual.count() == 60'000);
+  BOOST_TEST(Back->Request->OfferedBytes == 70'000u);
   BOOST_TEST(!decodeFrame("garbage", "", Now));
   BOOST_TEST(!decodeFrameSizes(std::string(8, '\xff')));
 }
 
+BOOST_AUTO_TEST_CASE(a_packed_text_comes_back_and_a_damaged_one_is_refused) {
+  constexpr std::size_t Limit = 1 << 20;
+  std::string Text;
+  for (int Route = 0; Route < 5'000; ++Route)
+    Text += R"({"prefix": "/)" + std::to_string(Route) + R"(/"},)";
+  std::string Packed = packText(Text);
+  BOOST_TEST(Packed.size() * 4 < Text.size());
+  result<std::string> Back = unpackText(Packed, Limit);
+  BOOST_REQUIRE(Back);
+  BOOST_TEST((*Back == Text));
+  // Short texts and such that can't be packed; found by the fuzz target.
+  for (std::size_t Size : {1U, 10U, 1'000U, 70'000U}) {
+    std::string Random(Size, 'x');
+    for (std::size_t Index = 0; Index < Size; Index += 7)
+      Random[Index] = static_cast<char>(Index * 31);
+    result<std::string> Same = unpackText(packText(Random), Limit);
+    BOOST_REQUIRE(Same);
+    BOOST_TEST((*Same == Random));
+  }
+  result<std::string> Empty = unpackText(packText(""), Limit);
+  BOOST_REQUIRE(Empty);
+  BOOST_TEST(Empty->empty());
+  BOOST_TEST(!unpackText(Packed, Text.size() / 2));
+  BOOST_TEST(!unpackText(std::string_view(Packed).substr(0, 100), Limit));
+  BOOST_TEST(!unpackText("", Limit));
+  BOOST_TEST(!unpackText(std::string(100, '\xff'), Limit));
+}
+
 BOOST_AUTO_TEST_CASE(records_in_the_store_come_back_and_garbage_does_not) {
   home_record Record;
   Record.Node = node_id("n");
--- a/tests/stand_ins/platform_store.cpp
+++ b/tests/stand_ins/platform_store.cpp
@@ -148,13 +148,19 @@
 http_response platform_store::range(const std::string &Prefix,
                                     const std::string &After) const {
   json::array List;
-  for (const auto &[Key, Item] : Items)
-    if (Key.starts_with(Prefix) && Key > After)
-      List.push_back(
-          itemJson(Key, Item.Value, Item.Revision, Item.Created, Item.Lease));
+  bool HasMore = false;
+  for (const auto &[Key, Item] : Items) {
+    if (!Key.starts_with(Prefix) || Key <= After)
+      continue;
+    HasMore = List.size() == PageItems;
+    if (HasMore)
+      break;
+    List.push_back(
+        itemJson(Key, Item.Value, Item.Revision, Item.Created, Item.Lease));
+  }
   return reply(
       200,
-      {{"items", std::move(List)}, {"hasMore", false}, {"asOf", Revision}});
+      {{"items", std::move(List)}, {"hasMore", HasMore}, {"asOf", Revision}});
 }
 
 awaitable<http_response> platform_store::watch(std::string Prefix,
@@ -240,9 +246,10 @@
   http_response Response = reply(404);
   if (Path == "/kv-key")
     Response = key(parameter(Target, "key"));
-  else if (Path == "/kv-range")
+  else if (Path == "/kv-range") {
+    StaleReads += parameter(Target, "serializable") == "1" ? 1 : 0;
     Response = range(parameter(Target, "prefix"), parameter(Target, "after"));
-  else if (Path == "/kv-watch")
+  } else if (Path == "/kv-watch")
     Response = co_await watch(
         parameter(Target, "prefix"), std::stoull(parameter(Target, "after")),
         milliseconds(std::stoll(parameter(Target, "waitMs"))));
--- a/tests/stand_ins/platform_store.h
+++ b/tests/stand_ins/platform_store.h
@@ -38,7 +38,9 @@
   void lapseLeases();
 
   switches Switches;
-  unsigned Calls = 0; ///< of any kind, refused ones included
+  unsigned Calls = 0;          ///< of any kind, refused ones included
+  unsigned StaleReads = 0;     ///< listings that may be old
+  std::size_t PageItems = 500; ///< in one answer to a listing
 
 private:
   struct item {
