Show by tests that nodes take silence for a current configuration

Three ways to it fail on this code: a watch that the store never answers is waited for 25.8 s, while its node says that it has read the newest changes; a node whose watchers lose the store relies on their word as long; and a node learns a new configuration from its watchers only with the next ping, up to a second later.

The store stand-in can leave waiting watches without an answer, and can be silent at the address of one node.

--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -56,8 +56,7 @@
 
 mesh_fixture::mesh_fixture()
     : Context(std::make_unique<asio::io_context>(1)),
-      Store(std::make_unique<stand_ins::platform_store>(*Context)),
-      StoreAddress(Store->listen()) {}
+      Store(std::make_unique<stand_ins::platform_store>(*Context)) {}
 
 mesh_fixture::mesh_fixture(const std::vector<std::string> &Services)
     : mesh_fixture() {
@@ -118,7 +117,7 @@
   Settings.WorkerReports = AnyPort;
   Settings.Peers = AnyPort;
   Settings.Worker = Worker.Server->bound();
-  Settings.Store = StoreAddress;
+  Settings.Store = Store->listen();
   Settings.LinkBytesPerSecond = LinkBytesPerSecond;
   Settings.RetryBudget.Slack = 100;
   Stopped.push_back(false);
@@ -173,6 +172,20 @@
   Store->put("op/config", json::serialize(Config));
 }
 
+std::vector<std::size_t>
+mesh_fixture::watchersOf(const std::string &Domain) const {
+  std::vector<std::size_t> Watchers;
+  for (unsigned Slot = 0; Slot < watcher_election::SlotsPerDomain; ++Slot) {
+    std::string Record = Store->value("chivebeam/watcher/" + Domain + "/" +
+                                      std::to_string(Slot));
+    for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
+      if (Record.find("\"node\":\"node-" + std::to_string(Index) + "\"") !=
+          std::string::npos)
+        Watchers.push_back(Index);
+  }
+  return Watchers;
+}
+
 void mesh_fixture::orderMove(const std::string &Service) {
   json::object Order{
       {"service", Service}, {"targetVersion", "v2"}, {"durationS", 14}};
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -60,6 +60,12 @@
   }
   mesh_worker &worker(std::size_t Index) { return *Workers[Index]; }
   stand_ins::platform_store &store() { return *Store; }
+  /// Sets whether the store answers no call of this node.
+  void cutFromStore(std::size_t Index, bool IsCut) {
+    Store->setSilent(node(Index).settings().Store, IsCut);
+  }
+  /// Returns the nodes that hold the slots for watchers of a failure domain.
+  std::vector<std::size_t> watchersOf(const std::string &Domain) const;
   /// Orders a move of the service to version v2 within 14 s.
   void orderMove(const std::string &Service);
   std::string moveStatus(const std::string &Service) const {
@@ -105,7 +111,6 @@
 
   std::unique_ptr<asio::io_context> Context;
   std::unique_ptr<stand_ins::platform_store> Store;
-  address StoreAddress;
   std::vector<std::unique_ptr<mesh_worker>> Workers;
   std::vector<std::unique_ptr<mesh_node>> Nodes;
   std::vector<bool> Stopped;
--- a/tests/stand_ins/platform_store.cpp
+++ b/tests/stand_ins/platform_store.cpp
@@ -50,13 +50,22 @@
 } // namespace
 
 platform_store::platform_store(asio::io_context &IoContext)
-    : Context(IoContext),
-      Service(Context, MaxBody,
-              [this](const http_request &Request, const address &)
-                  -> awaitable<http_response> { return handle(Request); }) {}
+    : Context(IoContext) {}
 
 address platform_store::listen() {
-  return Service.listen({"127.0.0.1", 0}).value();
+  entrance &Entrance = *Entrances.emplace_back(std::make_unique<entrance>());
+  Entrance.Service = std::make_unique<http_service>(
+      Context, MaxBody,
+      [this, &Entrance](const http_request &Request, const address &)
+          -> awaitable<http_response> { return handle(Request, Entrance); });
+  Entrance.At = Entrance.Service->listen({"127.0.0.1", 0}).value();
+  return Entrance.At;
+}
+
+void platform_store::setSilent(const address &At, bool IsSilent) {
+  for (auto &Entrance : Entrances)
+    if (Entrance->At == At)
+      Entrance->Silent = IsSilent;
 }
 
 void platform_store::record(const std::string &Key, bool Removed) {
@@ -187,7 +196,10 @@
     co_return reply(410);
   instant Ends = currentTime() + Wait;
   std::uint64_t StartedIn = Era;
+  std::uint64_t Generation = WatchGeneration;
   for (;;) {
+    while (Generation != WatchGeneration)
+      co_await sleepFor(Wait);
     expireLeases();
     if (Era != StartedIn)
       co_return reply(503);
@@ -249,7 +261,15 @@
   return reply(200, {{"ttlS", 1}});
 }
 
-awaitable<http_response> platform_store::handle(const http_request &Request) {
+awaitable<http_response> platform_store::handle(const http_request &Request,
+                                                entrance &At) {
+  http_response Response = co_await answer(Request);
+  while (At.Silent)
+    co_await sleepFor(WatchPollInterval);
+  co_return Response;
+}
+
+awaitable<http_response> platform_store::answer(const http_request &Request) {
   ++Calls;
   std::string Target(Request.target());
   std::string Path = Target.substr(0, Target.find('?'));
--- a/tests/stand_ins/platform_store.h
+++ b/tests/stand_ins/platform_store.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include <map>
-#include <set>
+#include <memory>
+#include <vector>
 
 #include <boost/json.hpp>
 
@@ -25,8 +26,13 @@
 
   explicit platform_store(asio::io_context &Context);
 
-  /// Listens on a port that the kernel chooses.
+  /// Listens on a port that the kernel chooses; may be called more than once.
   address listen();
+  /// Sets whether calls to one of the addresses get no answer until this is
+  /// taken back. Connections stay open.
+  void setSilent(const address &At, bool IsSilent);
+  /// Lets the watches that wait now never answer. New calls are answered.
+  void silenceWatches() { ++WatchGeneration; }
 
   /// Writes directly, like an operator.
   void put(const std::string &Key, std::string Value);
@@ -66,7 +72,15 @@
     instant Ends;
   };
 
-  awaitable<http_response> handle(const http_request &Request);
+  /// One address of the store.
+  struct entrance {
+    std::unique_ptr<http_service> Service;
+    address At;
+    bool Silent = false;
+  };
+
+  awaitable<http_response> handle(const http_request &Request, entrance &At);
+  awaitable<http_response> answer(const http_request &Request);
   http_response key(const std::string &Key) const;
   http_response range(const std::string &Prefix,
                       const std::string &After) const;
@@ -81,7 +95,8 @@
   void record(const std::string &Key, bool Removed);
 
   asio::io_context &Context;
-  http_service Service;
+  std::vector<std::unique_ptr<entrance>> Entrances;
+  std::uint64_t WatchGeneration = 0; ///< of the watches that are answered
   std::map<std::string, item> Items;
   std::vector<change> History;
   std::map<std::uint64_t, lease> Leases;
