End a watch of the operator's documents that the store does not answer

Cause: a node took the silence of a watch for "no change". The store may lose an answer, and then returns nothing further on that connection; a connection may also stop delivering without a reset. Meanwhile the node said that it had read the newest changes, so its subscribers relied on it.

Whether a subscription is current follows from the age of the last answer instead of from an open watch. The pause in a burst of changes is at most a second, so that listings are not older. A watcher makes one more call to the store each second; the number of watchers does not grow with the nodes of a failure domain.

--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -21,6 +21,10 @@
 /// plus the age of a stale listing.
 constexpr milliseconds MeshPollInterval{3'000};
 constexpr milliseconds MeshSettleTime{2'000};
+/// A watch of the operator's documents whose answer was lost, or whose
+/// connection fell silent, ends soon after this time. A configuration has to be
+/// in force within two seconds.
+constexpr milliseconds OperatorWatchInterval{1'000};
 /// Interval at which a node that is cut off from the store pings some peers.
 constexpr milliseconds PeerPingInterval{300};
 /// Evidence on a move is sent when it changes, and at least at this interval,
@@ -121,6 +125,7 @@
   for (config_store *Store :
        {OperatorStore.get(), MeshStore.get(), RequestStore.get()})
     Store->setEraHandler([this](store_era Era) { State.noteEra(Era); });
+  OperatorStore->setWatchInterval(OperatorWatchInterval);
   State.onEraRise([this](store_era Era) { eraRose(Era); });
   State.onChange([this] { viewChanged(); });
   Router.setStaleConfigCheck([this] {
--- a/src/chivebeam/mesh/store_subscription.cpp
+++ b/src/chivebeam/mesh/store_subscription.cpp
@@ -19,7 +19,7 @@
 /// a slow link are read less often; the upper limit puts changes in force
 /// within two seconds.
 constexpr microseconds MinBurstPause = milliseconds(900);
-constexpr microseconds MaxBurstPause = milliseconds(1'200);
+constexpr microseconds MaxBurstPause = milliseconds(1'000);
 constexpr int PauseToListingRatio = 3;
 /// Upper limit of the batch delay while changes are urgent.
 constexpr milliseconds MaxUrgentBatchDelay{200};
@@ -40,10 +40,6 @@
   Store.cancelWatch();
 }
 
-bool store_subscription::isCurrent(instant Now) const {
-  return Connected && (WatchOpen || Now < ListedAt + MinBurstPause * 2);
-}
-
 microseconds store_subscription::burstPauseTime() const {
   return std::clamp(ListDuration * PauseToListingRatio, MinBurstPause,
                     MaxBurstPause);
@@ -78,8 +74,8 @@
   }
   setConnected(true, "listed");
   Revision = Answer->Revision;
-  ListedAt = currentTime();
-  ListDuration = ListedAt - RequestedAt;
+  CurrentAt = RequestedAt;
+  ListDuration = currentTime() - RequestedAt;
   store_revision Newest;
   for (const store_entry &Entry : Answer->Entries)
     Newest = std::max(Newest, Entry.ModifiedAt);
@@ -92,12 +88,12 @@
 
 awaitable<bool> store_subscription::watch() {
   bool Batching = false;
-  WatchOpen = true;
   error Ended = co_await Store.watch(
       Prefix, Revision.next(),
       [this, &Batching](store_revision At,
                         const std::vector<watch_event> &Events) {
         Revision = At;
+        CurrentAt = currentTime();
         setConnected(true, "watch");
         for (const watch_event &Event : Events)
           Listener.onChanged(Event);
@@ -112,7 +108,6 @@
         if (IsBurst || Batching)
           Store.cancelWatch();
       });
-  WatchOpen = false;
   if (BurstPause || Batching)
     co_return true;
   if (Ended.Kind == error_kind::not_found)
--- a/src/chivebeam/mesh/store_subscription.h
+++ b/src/chivebeam/mesh/store_subscription.h
@@ -40,6 +40,9 @@
 /// the link. Runs on one io_context; not thread safe.
 class store_subscription {
 public:
+  /// A subscription whose last answer is older is not current.
+  static constexpr milliseconds MaxAnswerAge{1'800};
+
   /// \pre Store and Listener outlive the subscription; no other watch uses
   /// Store.
   store_subscription(config_store &Store, std::string Prefix,
@@ -55,8 +58,13 @@
   void restart();
   /// True while the store answers this node.
   bool isConnected() const { return Connected; }
+  /// Returns when this node had last read all changes; zero if it does not
+  /// know.
+  instant currentAt() const { return Connected ? CurrentAt : instant(); }
   /// False if there may be changes that this node has not read yet.
-  bool isCurrent(instant Now) const;
+  bool isCurrent(instant Now) const {
+    return Connected && Now < CurrentAt + MaxAnswerAge;
+  }
 
 private:
   awaitable<bool> list();
@@ -88,9 +96,8 @@
   instant LastEvent;
   bool BurstPause = false;
   bool Connected = false;
-  bool WatchOpen = false;
   bool Restarting = false;
-  instant ListedAt;
+  instant CurrentAt;            ///< all changes up to this time were read
   microseconds ListDuration{0}; ///< of the last full listing
   instant SettledAt;            ///< polling is allowed from this time
   bool EverDisconnected = false;
--- a/src/chivebeam/store/config_store.h
+++ b/src/chivebeam/store/config_store.h
@@ -70,6 +70,11 @@
   /// without eras never calls it.
   virtual void setEraHandler(era_handler) {}
 
+  /// Sets the longest time in which the store answers a watch that has no
+  /// changes to report. A watch that is not answered much longer than this
+  /// ends.
+  virtual void setWatchInterval(milliseconds) {}
+
   /// Reads one key, or with IsPrefix all keys that start with it.
   virtual awaitable<result<range_answer>> range(std::string Key,
                                                 bool IsPrefix) = 0;
@@ -88,7 +93,8 @@
   /// Returns false if the lease has expired.
   virtual awaitable<result<bool>> keepLease(lease_id Lease) = 0;
   virtual awaitable<result<void>> revokeLease(lease_id Lease) = 0;
-  /// Reports changes under Prefix from a revision on. Returns when the
+  /// Reports changes under Prefix from a revision on, and each answer without
+  /// changes. Returns when the
   /// connection is lost, or with kind not_found if the revision was compacted.
   virtual awaitable<error> watch(std::string Prefix, store_revision From,
                                  watch_handler Handler) = 0;
--- a/tests/mesh/config_age_test.cpp
+++ b/tests/mesh/config_age_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 #include "mesh_fixture.h"
 
@@ -15,17 +16,27 @@
 constexpr milliseconds ApplyTime{2'000};
 constexpr milliseconds StepTime{5};
 
-/// Waits until the node has the configuration; fails if it takes longer than
-/// Limit, counted in steps of this io_context.
-awaitable<void> configArrives(mesh_fixture &Mesh, std::size_t Index,
+/// Waits until these nodes have the configuration; fails if it takes longer
+/// than Limit, counted in steps of this io_context.
+awaitable<void> configArrives(mesh_fixture &Mesh,
+                              const std::vector<std::size_t> &Nodes,
                               std::uint64_t Number, milliseconds Limit) {
-  for (auto Step = Limit / StepTime; Step > 0; --Step) {
-    if (Mesh.hasConfig(Index, Number))
-      break;
+  auto IsOutdated = [&](std::size_t Index) {
+    return !Mesh.hasConfig(Index, Number);
+  };
+  auto Step = Limit / StepTime;
+  for (; Step > 0 && std::any_of(Nodes.begin(), Nodes.end(), IsOutdated);
+       --Step)
     co_await Mesh.pause(StepTime);
-  }
-  BOOST_TEST(Mesh.hasConfig(Index, Number),
-             "node " << Index << " has no configuration " << Number);
+  for (std::size_t Index : Nodes)
+    BOOST_TEST(!IsOutdated(Index),
+               "node " << Index << " has no configuration " << Number);
+}
+
+std::vector<std::size_t> allNodes(const mesh_fixture &Mesh) {
+  std::vector<std::size_t> Nodes(Mesh.size());
+  std::iota(Nodes.begin(), Nodes.end(), std::size_t{0});
+  return Nodes;
 }
 
 /// Waits until both slots for watchers are held.
@@ -49,8 +60,7 @@
     co_await findWatchers(Mesh);
     Mesh.store().silenceWatches();
     Mesh.configure(2, {"desk"});
-    co_await configArrives(Mesh, 0, 2, ApplyTime);
-    co_await configArrives(Mesh, 1, 2, StepTime);
+    co_await configArrives(Mesh, allNodes(Mesh), 2, ApplyTime);
   });
 }
 
@@ -63,9 +73,10 @@
     for (std::size_t Watcher : Watchers)
       Mesh.cutFromStore(Watcher, true);
     Mesh.configure(2, {"desk"});
-    for (std::size_t Index = 0; Index < Mesh.size(); ++Index)
-      if (std::find(Watchers.begin(), Watchers.end(), Index) == Watchers.end())
-        co_await configArrives(Mesh, Index, 2, ApplyTime);
+    std::vector<std::size_t> Others = allNodes(Mesh);
+    for (std::size_t Watcher : Watchers)
+      std::erase(Others, Watcher);
+    co_await configArrives(Mesh, Others, 2, ApplyTime);
   });
 }
 
@@ -77,8 +88,7 @@
     co_await findWatchers(Mesh);
     for (std::uint64_t Number = 2; Number < 6; ++Number) {
       Mesh.configure(Number, {"desk"});
-      for (std::size_t Index = 0; Index < Mesh.size(); ++Index)
-        co_await configArrives(Mesh, Index, Number, milliseconds(250));
+      co_await configArrives(Mesh, allNodes(Mesh), Number, milliseconds(250));
       // Later than a burst, so that the watch delivers the next change.
       co_await Mesh.pause(milliseconds(1'130));
     }
