Read the store on nodes whose watchers have not read it lately

Cause: most nodes learn configurations from watchers, and took a watcher's word that it had read the newest changes without asking how long ago that was. Such a word counted for 2.2 s after it was heard; then the node waited 1.5 to 3 s more before it read the store, and such reads could be seconds old. A node whose watchers were dead, frozen or cut off from it or from the store, but which reached the store itself, could be more than five seconds behind.

Each message of a watcher now says how long ago it had read all changes, and a watcher sends its status to its subscribers with each answer of the store. A node relies on watchers only while one of them has read the store within 1.5 s (watcher_reliance); otherwise it subscribes to the operator's documents itself, in a mode that costs the store little: the first listing may be stale, since the watch that continues from its revision makes up for that. This replaces store_fallback. Whether an unknown route may be in a configuration that has not arrived follows from the same age. New log event standby_reading; new metrics on_standby, store_read_age_seconds and watcher_read_age_seconds show which of the hypotheses of the incident holds.

The field store_age_us is new in messages between nodes; a node of the version before counts as current without an age.

--- a/src/chivebeam/mesh/mesh_membership.cpp
+++ b/src/chivebeam/mesh/mesh_membership.cpp
@@ -24,8 +24,10 @@
     : Settings(MeshSettings), State(MeshState), Hub(PeerHub),
       OwnDomainUsableAt(currentTime()) {
   State.onPeerStatus([this](const node_id &From, const peer_status &Status) {
-    if (Status.StoreCurrent)
-      CurrentAt[From] = currentTime();
+    if (!Status.StoreAge)
+      return;
+    instant &At = CurrentAt[From];
+    At = std::max(At, currentTime() - *Status.StoreAge);
   });
   State.onNews([this](const std::vector<home_record> &News,
                       const node_id &From) { relayNews(News, From); });
@@ -72,6 +74,16 @@
   });
 }
 
+instant mesh_membership::watcherReadAt() const {
+  instant Newest;
+  for (const auto &[Node, At] : CurrentAt) {
+    const home_record *Record = State.directory().find(Node);
+    if (Record && isWatcher(*Record))
+      Newest = std::max(Newest, At);
+  }
+  return Newest;
+}
+
 std::set<node_id> mesh_membership::chooseWatchers(instant Now) const {
   std::vector<watcher_candidate> Candidates;
   for (const home_record &Record : State.directory().records())
@@ -118,7 +130,7 @@
   Hub.subscribeTo(chooseWatchers(Now));
   // A watcher that can't reach the store may be cut off from the other nodes as
   // well, so it draws no conclusion from their silence.
-  if (State.ownStatus().StoreCurrent &&
+  if (State.ownStatus().StoreAge &&
       Now >= SilenceCheckedAt + SilenceCheckInterval) {
     SilenceCheckedAt = Now;
     checkSilentNodes(Now);
--- a/src/chivebeam/mesh/mesh_membership.h
+++ b/src/chivebeam/mesh/mesh_membership.h
@@ -28,6 +28,9 @@
   std::vector<node_id> usableWatchers(instant Now) const;
   /// True if a watcher of any failure domain answers and reads the store.
   bool hasUsableWatcher(instant Now) const;
+  /// Returns the last time at which a watcher that this node hears had read all
+  /// changes of the store; zero if there was none lately.
+  instant watcherReadAt() const;
   /// Maintains the subscriptions. Called several times a second.
   void tick(instant Now);
 
@@ -44,7 +47,7 @@
   const mesh_settings &Settings;
   mesh_state &State;
   peer_hub &Hub;
-  /// When a watcher last said that it reads the newest changes of the store.
+  /// When a watcher had last read all changes of the store, as it says.
   std::map<node_id, instant> CurrentAt;
   instant OwnDomainUsableAt; ///< last time with a usable watcher in it
   instant SilenceCheckedAt;
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -92,19 +92,23 @@
                    *Dependencies.DocumentFormat, State, Hub),
       OperatorListener(*Dependencies.DocumentFormat, State, MoveExecutor),
       MeshListener(Membership, MoveExecutor, Registrar),
-      OperatorSubscription(
-          *OperatorStore, Dependencies.DocumentFormat->prefix(),
-          OperatorListener,
-          {.IsWanted = [this] { return Registrar.isWatcher(); }}),
+      OperatorSubscription(*OperatorStore,
+                           Dependencies.DocumentFormat->prefix(),
+                           OperatorListener,
+                           {.Mode = [this] { return operatorMode(); },
+                            .OnCurrent = [this] { operatorDocumentsRead(); }}),
       MeshSubscription(
           *MeshStore, mesh_keys::prefix(), MeshListener,
           {.BatchDelay = MeshBatchDelay,
            .PollInterval = MeshPollInterval,
            .SettleTime = MeshSettleTime,
            .IsUrgent = [this] { return MoveExecutor.hasOpenMoves(); },
-           .IsWanted = [this] { return Registrar.isWatcher(); }}),
-      Fallback(*RequestStore, Dependencies.DocumentFormat->prefix(),
-               OperatorListener, State, Membership, Settings.FirstStart),
+           .Mode =
+               [this] {
+                 return Registrar.isWatcher() ? subscription_mode::primary
+                                              : subscription_mode::off;
+               }}),
+      Reliance(Settings.FirstStart, std::hash<node_id>()(Settings.Node)),
       Sessions{Router, *Dependencies.Calls, State, Metrics,
                body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
       CallerAcceptor(Context), PeerAcceptor(Context),
@@ -128,12 +132,8 @@
   OperatorStore->setWatchInterval(OperatorWatchInterval);
   State.onEraRise([this](store_era Era) { eraRose(Era); });
   State.onChange([this] { viewChanged(); });
-  Router.setStaleConfigCheck([this] {
-    instant Now = currentTime();
-    return State.isBehind() ||
-           !(Registrar.isWatcher() ? OperatorSubscription.isCurrent(Now)
-                                   : Membership.hasUsableWatcher(Now));
-  });
+  Router.setStaleConfigCheck(
+      [this] { return State.isBehind() || !isConfigCurrent(currentTime()); });
   State.onEvidence([this](const evidence_report &Report) {
     MoveExecutor.handleEvidence(Report);
   });
@@ -174,10 +174,10 @@
       .add("peers", Settings.Peers.text())
       .add("store", Settings.Store.text())
       .add("first_start", Settings.FirstStart);
+  checkStandby(currentTime());
   asio::co_spawn(Context, OperatorSubscription.run(), asio::detached);
   asio::co_spawn(Context, MeshSubscription.run(), asio::detached);
   asio::co_spawn(Context, Registrar.run(), asio::detached);
-  asio::co_spawn(Context, Fallback.run(), asio::detached);
   asio::co_spawn(Context, Workers.load(), asio::detached);
   asio::co_spawn(Context, tickLoop(), asio::detached);
   asio::co_spawn(Context,
@@ -283,11 +283,43 @@
   MoveExecutor.tick(Now);
 }
 
+subscription_mode mesh_node::operatorMode() const {
+  if (Registrar.isWatcher())
+    return subscription_mode::primary;
+  return OnStandby ? subscription_mode::standby : subscription_mode::off;
+}
+
+void mesh_node::operatorDocumentsRead() {
+  if (!Registrar.isWatcher())
+    return;
+  State.setStoreReadAt(OperatorSubscription.currentAt());
+  Membership.announceStatus();
+}
+
+bool mesh_node::isConfigCurrent(instant Now) const {
+  return OperatorSubscription.isCurrent(Now) ||
+         Now < Membership.watcherReadAt() + watcher_reliance::MaxReadAge;
+}
+
+void mesh_node::checkStandby(instant Now) {
+  instant WatcherReadAt = Membership.watcherReadAt();
+  bool WasOnStandby =
+      std::exchange(OnStandby, Reliance.readsStore(WatcherReadAt, Now));
+  if (OnStandby == WasOnStandby || Registrar.isWatcher())
+    return;
+  log_event Line("standby_reading");
+  Line.add("begins", OnStandby).add("config", State.configNumber());
+  if (WatcherReadAt != instant())
+    Line.add("watcher_read_age_ms", (Now - WatcherReadAt).count() / 1'000);
+}
+
 void mesh_node::checkStoreAccess(instant Now) {
-  bool IsWatcher = Registrar.isWatcher();
-  State.setStoreCurrent(IsWatcher && OperatorSubscription.isCurrent(Now));
-  bool CutOff = IsWatcher ? !OperatorSubscription.isConnected()
-                          : !Membership.hasUsableWatcher(Now);
+  checkStandby(Now);
+  if (!Registrar.isWatcher() || !OperatorSubscription.isCurrent(Now))
+    State.setStoreReadAt(instant());
+  bool CutOff = operatorMode() == subscription_mode::off
+                    ? !Membership.hasUsableWatcher(Now)
+                    : !OperatorSubscription.isConnected();
   State.setCutOff(CutOff);
   if (CutOff && Now >= PeersPingedAt + PeerPingInterval) {
     PeersPingedAt = Now;
@@ -412,6 +444,16 @@
   Metrics.set("open_calls", static_cast<double>(Router.openCalls()));
   Metrics.set("open_sessions", static_cast<double>(OpenSessions.size()));
   Metrics.set("is_watcher", Registrar.isWatcher() ? 1 : 0);
+  Metrics.set("on_standby", OnStandby ? 1 : 0);
+  instant Now = currentTime();
+  auto AgeOf = [&](instant ReadAt) {
+    return ReadAt == instant()
+               ? -1.0
+               : std::chrono::duration<double>(Now - ReadAt).count();
+  };
+  Metrics.set("store_read_age_seconds",
+              AgeOf(OperatorSubscription.currentAt()));
+  Metrics.set("watcher_read_age_seconds", AgeOf(Membership.watcherReadAt()));
   Metrics.set("subscribers", static_cast<double>(Hub.subscribers()));
   Metrics.set("open_links", static_cast<double>(Hub.openLinks()));
   Metrics.set("config_number",
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -4,9 +4,9 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include "membership/watcher_reliance.h"
 #include "mesh/caller_session.h"
 #include "mesh/peer_session.h"
-#include "mesh/store_fallback.h"
 #include "mesh/store_listeners.h"
 #include "mesh/worker_report_handler.h"
 
@@ -62,6 +62,15 @@
   void checkSuspension();
   /// Called when the store came back from an older copy.
   void eraRose(store_era Era);
+  /// Returns how this node reads the operator's documents from the store.
+  subscription_mode operatorMode() const;
+  /// Called after each answer of the store that shows that all of the
+  /// operator's documents were read.
+  void operatorDocumentsRead();
+  /// True if no configuration that was stored a while ago can be missing here.
+  bool isConfigCurrent(instant Now) const;
+  /// Decides whether this node reads the store although it is no watcher.
+  void checkStandby(instant Now);
   /// Updates what depends on whether this node or a watcher reads the store.
   void checkStoreAccess(instant Now);
   void reportEvidence(instant Now);
@@ -91,7 +100,8 @@
   mesh_listener MeshListener;
   store_subscription OperatorSubscription;
   store_subscription MeshSubscription;
-  store_fallback Fallback;
+  watcher_reliance Reliance;
+  bool OnStandby = false;
   session_context Sessions;
   tcp::acceptor CallerAcceptor;
   tcp::acceptor PeerAcceptor;
--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -174,7 +174,10 @@
 }
 
 peer_status mesh_state::ownStatus() const {
-  return {configNumber(), StoreCurrent && Own.Watches, Era};
+  peer_status Status{configNumber(), std::nullopt, Era};
+  if (Own.Watches && StoreReadAt != instant())
+    Status.StoreAge = currentTime() - StoreReadAt;
+  return Status;
 }
 
 void mesh_state::noteEra(store_era Seen) {
@@ -304,7 +307,7 @@
     OnPeerStatus(From, Status);
   // A watcher that reads the store has the newest configuration; other nodes
   // are asked for it only if no watcher delivers it.
-  bool AskAtOnce = Status.StoreCurrent && !Own.Watches;
+  bool AskAtOnce = Status.StoreAge && !Own.Watches;
   return CatchUp.peerReported(Status.Config, configNumber(), currentTime(),
                               AskAtOnce);
 }
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -74,8 +74,9 @@
   /// another node.
   void noteEra(store_era Seen);
   store_era era() const { return Era; }
-  /// Sets whether this node has read the newest changes of the store.
-  void setStoreCurrent(bool IsCurrent) { StoreCurrent = IsCurrent; }
+  /// Sets when this node, as a watcher, had last read all changes of the store;
+  /// zero: it does not read them.
+  void setStoreReadAt(instant At) { StoreReadAt = At; }
   /// Raises the own change number to the one that an earlier process of this
   /// node reached, so that every node accepts the next record as newer.
   void raiseChangeNumber(std::uint64_t Change) {
@@ -140,7 +141,7 @@
   config_catch_up CatchUp;
   config_number RefusedConfig; ///< the last number that could not be compiled
   home_directory Directory;
-  bool StoreCurrent = false;
+  instant StoreReadAt;
   bool CutOff = false;
   store_era Era;             ///< zero: not known yet
   bool ViewOutdated = false; ///< records have changed since the last rebuild
--- a/src/chivebeam/mesh/peer_protocol.cpp
+++ b/src/chivebeam/mesh/peer_protocol.cpp
@@ -18,7 +18,7 @@
   peer_frame Frame;
   Frame.Kind = Kind;
   Frame.Config = Status.Config;
-  Frame.StoreCurrent = Status.StoreCurrent;
+  Frame.StoreAge = Status.StoreAge;
   Frame.Era = Status.Era;
   if (Kind == frame_kind::ping || Kind == frame_kind::pong)
     Frame.Digest = PeerState.digest();
@@ -93,8 +93,7 @@
 
 bool peer_protocol::handle(const peer_frame &Frame, const node_id &From,
                            frame_channel &Channel) {
-  if (PeerState.peerReported(From,
-                             {Frame.Config, Frame.StoreCurrent, Frame.Era}))
+  if (PeerState.peerReported(From, {Frame.Config, Frame.StoreAge, Frame.Era}))
     Channel.send(frame(frame_kind::config_query));
   switch (Frame.Kind) {
   case frame_kind::hello:
--- a/src/chivebeam/mesh/peer_state_listener.h
+++ b/src/chivebeam/mesh/peer_state_listener.h
@@ -12,8 +12,9 @@
 /// What every frame of a node tells about its state. A plain value.
 struct peer_status {
   config_number Config; ///< newest number that the node holds
-  /// True if the node watches the store and has read its newest changes.
-  bool StoreCurrent = false;
+  /// Time since the node, a watcher, read all changes of the store; empty if it
+  /// does not read them.
+  std::optional<microseconds> StoreAge;
   store_era Era; ///< highest era of the store that the node knows
 };
 
--- a/src/chivebeam/mesh/store_subscription.cpp
+++ b/src/chivebeam/mesh/store_subscription.cpp
@@ -24,6 +24,8 @@
 /// Upper limit of the batch delay while changes are urgent.
 constexpr milliseconds MaxUrgentBatchDelay{200};
 constexpr milliseconds WantedCheckInterval{50};
+/// Pause after a failure on standby; as much again is added at random.
+constexpr microseconds StandbyRetryInterval = milliseconds(1'500);
 
 } // namespace
 
@@ -61,20 +63,29 @@
       .add("why", Why);
 }
 
+void store_subscription::setCurrentAt(instant At) {
+  CurrentAt = At;
+  if (Settings.OnCurrent)
+    Settings.OnCurrent();
+}
+
 awaitable<bool> store_subscription::list() {
   if (std::exchange(Restarting, false)) {
     Revision = store_revision();
     NewestModification = store_revision();
   }
   instant RequestedAt = currentTime();
-  result<range_answer> Answer = co_await Store.range(Prefix, true);
+  bool MayBeStale = mode() == subscription_mode::standby && !HistoryGone;
+  awaitable<result<range_answer>> Read =
+      MayBeStale ? Store.staleRange(Prefix) : Store.range(Prefix, true);
+  result<range_answer> Answer = co_await std::move(Read);
   if (!Answer) {
     setConnected(false, Answer.error().text());
     co_return false;
   }
   setConnected(true, "listed");
   Revision = Answer->Revision;
-  CurrentAt = RequestedAt;
+  HistoryGone = false;
   ListDuration = currentTime() - RequestedAt;
   store_revision Newest;
   for (const store_entry &Entry : Answer->Entries)
@@ -83,6 +94,8 @@
   BurstPause = BurstPause && Newest != NewestModification;
   NewestModification = Newest;
   Listener.onListed(*Answer);
+  if (!MayBeStale)
+    setCurrentAt(RequestedAt);
   co_return true;
 }
 
@@ -93,10 +106,12 @@
       [this, &Batching](store_revision At,
                         const std::vector<watch_event> &Events) {
         Revision = At;
-        CurrentAt = currentTime();
         setConnected(true, "watch");
         for (const watch_event &Event : Events)
           Listener.onChanged(Event);
+        setCurrentAt(currentTime());
+        if (!isWanted())
+          Store.cancelWatch();
         if (Events.empty())
           return;
         instant Now = currentTime();
@@ -110,7 +125,8 @@
       });
   if (BurstPause || Batching)
     co_return true;
-  if (Ended.Kind == error_kind::not_found)
+  HistoryGone = Ended.Kind == error_kind::not_found;
+  if (HistoryGone)
     log_event("store_history_gone").add("prefix", Prefix).add("at", Revision);
   co_return false;
 }
@@ -141,8 +157,12 @@
 }
 
 awaitable<void> store_subscription::backOff() {
+  bool IsFirst = Backoff.count() == 0;
   Backoff = std::clamp(Backoff * 2, MinBackoff, MaxBackoff);
-  co_await sleepFor(Backoff / 2 + jitter(Backoff / 2));
+  microseconds Pause = Backoff / 2 + jitter(Backoff / 2);
+  if (!IsFirst && mode() == subscription_mode::standby)
+    Pause = StandbyRetryInterval + jitter(StandbyRetryInterval);
+  co_await sleepFor(Pause);
 }
 
 awaitable<void> store_subscription::waitUntilWanted() {
--- a/src/chivebeam/mesh/store_subscription.h
+++ b/src/chivebeam/mesh/store_subscription.h
@@ -16,6 +16,16 @@
   virtual void onChanged(const watch_event &Event) = 0;
 };
 
+/// How a node uses a subscription.
+enum class subscription_mode {
+  off,
+  /// Like primary, but it costs the store less, since many nodes may be in this
+  /// mode together: the first listing may be stale, which the watch makes up
+  /// for, and retries are rare.
+  standby,
+  primary,
+};
+
 /// Sets how soon a subscription reads changes of the store.
 struct subscription_settings {
   /// Time that the subscription waits after a change to read further changes
@@ -30,8 +40,10 @@
   milliseconds SettleTime{6'000};
   /// Returns whether changes must be read at once; null: never.
   std::function<bool()> IsUrgent{};
-  /// Returns whether to subscribe; null: always.
-  std::function<bool()> IsWanted{};
+  /// Returns how the subscription is used now; null: primary.
+  std::function<subscription_mode()> Mode{};
+  /// Called after each answer that shows that all changes were read.
+  std::function<void()> OnCurrent{};
 };
 
 /// Subscribes to all keys under a prefix: lists them, then watches, and lists
@@ -71,7 +83,12 @@
   /// Reads stale listings for as long as polling is allowed.
   awaitable<void> poll();
   bool mayPoll() const;
-  bool isWanted() const { return !Settings.IsWanted || Settings.IsWanted(); }
+  subscription_mode mode() const {
+    return Settings.Mode ? Settings.Mode() : subscription_mode::primary;
+  }
+  bool isWanted() const { return mode() != subscription_mode::off; }
+  /// Notes that all changes up to this time were read.
+  void setCurrentAt(instant At);
   /// Waits until the subscription is wanted.
   awaitable<void> waitUntilWanted();
   bool isUrgent() const { return Settings.IsUrgent && Settings.IsUrgent(); }
@@ -97,7 +114,8 @@
   bool BurstPause = false;
   bool Connected = false;
   bool Restarting = false;
-  instant CurrentAt;            ///< all changes up to this time were read
+  bool HistoryGone = false; ///< the last watch began before the store's history
+  instant CurrentAt;        ///< all changes up to this time were read
   microseconds ListDuration{0}; ///< of the last full listing
   instant SettledAt;            ///< polling is allowed from this time
   bool EverDisconnected = false;
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -230,7 +230,8 @@
   Out.call = static_cast<std::int64_t>(Frame.Call);
   Out.config = static_cast<std::int64_t>(Frame.Config.value());
   Out.digest = static_cast<std::int64_t>(Frame.Digest);
-  Out.store_current = Frame.StoreCurrent;
+  Out.store_current = Frame.StoreAge.has_value();
+  Out.store_age_us = Frame.StoreAge.value_or(microseconds(0)).count();
   Out.store_era = static_cast<std::int64_t>(Frame.Era.value());
   Out.covered_buckets = static_cast<std::int64_t>(Frame.CoveredBuckets);
   if (Frame.Kind == frame_kind::subscribe ||
@@ -280,7 +281,9 @@
   Frame.Call = static_cast<std::uint64_t>(In->call);
   Frame.Config = config_number(static_cast<std::uint64_t>(In->config));
   Frame.Digest = static_cast<std::uint64_t>(In->digest);
-  Frame.StoreCurrent = In->store_current;
+  if (In->store_current)
+    Frame.StoreAge = std::clamp(microseconds(In->store_age_us), microseconds(0),
+                                MaxRemainingTime);
   Frame.Era = store_era(static_cast<std::uint64_t>(In->store_era));
   Frame.CoveredBuckets = static_cast<std::uint64_t>(In->covered_buckets);
   std::size_t Buckets = std::min(In->buckets.size(), Frame.Buckets.size());
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -37,8 +37,9 @@
   config_number Config;   ///< newest number that the sender holds
   /// Digest of the sender's records and moves; in pings and pongs.
   std::uint64_t Digest = 0;
-  /// True if the sender watches the store and has read its newest changes.
-  bool StoreCurrent = false;
+  /// Time since the sender, a watcher, read all changes of the store; empty if
+  /// it does not read them.
+  std::optional<microseconds> StoreAge;
   store_era Era; ///< highest era of the store that the sender knows
   /// Digests of the sender's records by bucket; in requests for records.
   record_buckets Buckets{};
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -217,4 +217,6 @@
   11: optional list<i64> buckets
   // One bit for each bucket that records covers completely.
   12: i64 covered_buckets
+  // Time since the sender read the newest changes, if store_current is true.
+  13: i64 store_age_us
 }
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -4000,6 +4000,10 @@
 void peer_frame::__set_covered_buckets(const int64_t val) {
   this->covered_buckets = val;
 }
+
+void peer_frame::__set_store_age_us(const int64_t val) {
+  this->store_age_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_frame& obj)
 {
   obj.printTo(out);
@@ -4148,6 +4152,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_age_us);
+          this->__isset.store_age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4234,6 +4246,10 @@
   xfer += oprot->writeI64(this->covered_buckets);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_age_us", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->store_age_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4253,6 +4269,7 @@
   swap(a.store_era, b.store_era);
   swap(a.buckets, b.buckets);
   swap(a.covered_buckets, b.covered_buckets);
+  swap(a.store_age_us, b.store_age_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -4269,6 +4286,7 @@
   store_era = other110.store_era;
   buckets = other110.buckets;
   covered_buckets = other110.covered_buckets;
+  store_age_us = other110.store_age_us;
   __isset = other110.__isset;
 }
 peer_frame& peer_frame::operator=(const peer_frame& other111) {
@@ -4284,6 +4302,7 @@
   store_era = other111.store_era;
   buckets = other111.buckets;
   covered_buckets = other111.covered_buckets;
+  store_age_us = other111.store_age_us;
   __isset = other111.__isset;
   return *this;
 }
@@ -4302,6 +4321,7 @@
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "buckets="; (__isset.buckets ? (out << to_string(buckets)) : (out << "<null>"));
   out << ", " << "covered_buckets=" << to_string(covered_buckets);
+  out << ", " << "store_age_us=" << to_string(store_age_us);
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1554,7 +1554,7 @@
 std::ostream& operator<<(std::ostream& out, const call_answer& obj);
 
 typedef struct _peer_frame__isset {
-  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false) {}
+  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), store_age_us(false) {}
   bool kind :1;
   bool call :1;
   bool config :1;
@@ -1567,6 +1567,7 @@
   bool store_era :1;
   bool buckets :1;
   bool covered_buckets :1;
+  bool store_age_us :1;
 } _peer_frame__isset;
 
 class peer_frame : public virtual ::apache::thrift::TBase {
@@ -1581,7 +1582,8 @@
                digest(0),
                store_current(0),
                store_era(0),
-               covered_buckets(0) {
+               covered_buckets(0),
+               store_age_us(0) {
   }
 
   virtual ~peer_frame() noexcept;
@@ -1597,6 +1599,7 @@
   int64_t store_era;
   std::vector<int64_t>  buckets;
   int64_t covered_buckets;
+  int64_t store_age_us;
 
   _peer_frame__isset __isset;
 
@@ -1624,6 +1627,8 @@
 
   void __set_covered_buckets(const int64_t val);
 
+  void __set_store_age_us(const int64_t val);
+
   bool operator == (const peer_frame & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1660,6 +1665,8 @@
       return false;
     if (!(covered_buckets == rhs.covered_buckets))
       return false;
+    if (!(store_age_us == rhs.store_age_us))
+      return false;
     return true;
   }
   bool operator != (const peer_frame &rhs) const {
