Repeat a listing during which the store's era rose

If a node learned of the new era from another node while a listing of its own was on its way, the answer was still of the earlier era. The node noted to list again, but first watched from the revision of that answer, which the new era may have given out again, and read nothing that lay below it until the watch ended, up to 25 s later.

--- a/src/chivebeam/mesh/store_subscription.cpp
+++ b/src/chivebeam/mesh/store_subscription.cpp
@@ -84,6 +84,9 @@
     co_return false;
   }
   setConnected(true, "listed");
+  // The answer may be of the earlier era, or its pages of two eras.
+  if (Restarting)
+    co_return true;
   Revision = Answer->Revision;
   HistoryGone = false;
   ListDuration = currentTime() - RequestedAt;
@@ -181,7 +184,7 @@
     bool Intact = co_await list();
     if (Intact) {
       Backoff = microseconds(0);
-      if (!BurstPause)
+      if (!BurstPause && !Restarting)
         Intact = co_await runWatches();
     }
     if (Restarting)
--- a/tests/mesh/store_subscription_test.cpp
+++ b/tests/mesh/store_subscription_test.cpp
@@ -81,4 +81,39 @@
   BOOST_TEST(Ended);
 }
 
+// Guards against a watch that continues at the revision of a listing from an
+// earlier era, in which the same revision meant something else.
+BOOST_AUTO_TEST_CASE(a_listing_that_was_sent_before_the_era_rose_is_repeated) {
+  asio::io_context Context(1);
+  stand_ins::platform_store Server(Context);
+  address At = Server.listen();
+  platform::kv_store Client(At);
+  counting_listener Listener;
+  store_subscription Subscription(Client, "k/", Listener, {});
+  bool Ended = false;
+  auto Test = [&]() -> awaitable<void> {
+    for (int Change = 0; Change < 8; ++Change)
+      Server.put("k/1", "of the old era");
+    Server.setSilent(At, true);
+    asio::co_spawn(Context, Subscription.run(), asio::detached);
+    co_await sleepFor(milliseconds(100)); // the listing is on its way
+    Server.restoreCopy();
+    Server.put("k/1", "of the new era");
+    for (int Change = 0; Change < 16; ++Change)
+      Server.put("other/1", "");
+    // The node has learned of the new era from another node.
+    Subscription.restart();
+    Server.setSilent(At, false);
+    for (int Step = 0; Step < 400 && Listener.Newest != "of the new era";
+         ++Step)
+      co_await sleepFor(milliseconds(5));
+    BOOST_TEST(Listener.Newest == "of the new era");
+    Ended = true;
+    Context.stop();
+  };
+  asio::co_spawn(Context, Test(), asio::detached);
+  Context.run_for(seconds(60));
+  BOOST_TEST(Ended);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
