Log which calls ran when a backend server ended

A call now has a fingerprint of its method, host, target and body, which the lines of failed attempts show. When the connection of a call breaks without an answer, its home node connects again at once. If that is refused, or a report of a new start arrives, the event server_ended names the worker and the calls that ran. A reset connection to a server that still accepts connections is no end.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -140,6 +140,9 @@
   Call.Goal = Route.Goal.count() > 0
                   ? firstAttemptTime(Route, Request) + Route.Goal
                   : Call.Deadline;
+  Call.Fingerprint =
+      fingerprintOf(Request.Method, Request.Host, Request.Target,
+                    Request.Body ? std::string_view(*Request.Body) : "");
   Call.Method = std::move(Request.Method);
   Call.Target = std::move(Request.Target);
   Call.Fields = std::move(Request.Fields);
@@ -499,6 +502,8 @@
     Line.add("running", Load->Running)
         .add("waiting", Load->Waiting)
         .add("limit", Load->Limit);
+  if (Answer.Outcome != attempt_outcome::answered)
+    Line.add("fingerprint", toHex(Entry.Call.Fingerprint));
   if (!Answer.Reason.empty())
     Line.add("reason", Answer.Reason);
   if (std::uint64_t Omitted = std::exchange(OmittedLines, 0))
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -36,10 +36,13 @@
   bool IsNewProcess = !Worker || Worker->Start != Report.Start;
   if (IsNewProcess || Worker->At != Report.At)
     Idle.clear();
+  if (IsNewProcess && Worker)
+    serverEnded(Worker->Start, currentTime());
   if (IsNewProcess) {
     Queue.resetServiceTimes();
     Failures.reset();
     Evidence.clear();
+    ServerGone = false;
     UnreachableUntil = instant();
   }
   Worker = Report;
@@ -251,16 +254,50 @@
 home_runner::acquireConnection(bool Idempotent) {
   if (auto Kept = takeIdle(Idempotent ? MaxIdle : MaxIdleNonIdempotent))
     co_return Kept;
+  co_return co_await openConnection();
+}
+
+awaitable<std::shared_ptr<worker_connection>> home_runner::openConnection() {
   ++ConnectionsOpened;
   address At = Worker->At;
-  auto Connection = co_await connectToWorker(At, ConnectTimeout);
-  if (!Connection) {
-    UnreachableUntil = currentTime() + UnreachableBackoff;
-    log_event("worker_unreachable")
-        .add("worker", Worker->Start.Worker)
-        .add("address", At.text());
-  }
-  co_return Connection;
+  worker_start Start = Worker->Start;
+  worker_connect_result Opened = co_await connectToWorker(At, ConnectTimeout);
+  if (Worker->Start != Start)
+    co_return Opened.Connection;
+  ServerGone = Opened.Refused;
+  if (Opened.Connection)
+    co_return Opened.Connection;
+  UnreachableUntil = currentTime() + UnreachableBackoff;
+  log_event("worker_unreachable")
+      .add("worker", Start.Worker)
+      .add("address", At.text());
+  if (Opened.Refused)
+    serverEnded(Start, currentTime());
+  co_return nullptr;
+}
+
+awaitable<void> home_runner::checkBroken(const mesh_call &Call,
+                                         worker_start Start) {
+  Broken.add(Call.Fingerprint, Start, currentTime());
+  // Another call's check may have found the server gone, or it has been
+  // replaced.
+  if (ServerGone || !Worker || Worker->Start != Start)
+    co_return serverEnded(Start, currentTime());
+  if (auto Connection = co_await openConnection())
+    returnToPool(std::move(Connection));
+}
+
+void home_runner::serverEnded(const worker_start &Start, instant Now) {
+  std::vector<call_fingerprint> Ran = Broken.takeEnded(Start, Now);
+  if (Ran.empty())
+    return;
+  std::string Calls;
+  for (call_fingerprint Fingerprint : Ran)
+    Calls += (Calls.empty() ? "" : ",") + toHex(Fingerprint);
+  log_event("server_ended")
+      .add("worker", Start.Worker)
+      .add("started_ms", Start.StartedAtMs)
+      .add("calls", Calls);
 }
 
 awaitable<void> home_runner::runOnWorker(job_ptr Job) {
@@ -286,10 +323,13 @@
   cancel_signal Cancel = Call.Idempotent ? Job->Cancel : cancel_signal();
   if (Call.IsRetry)
     RunningRetries.insert(Call.Id);
+  worker_start Start = Worker->Start;
   mesh_answer Answer = co_await Connection->exchange(
       Call, Fields, Protocol, Call.Deadline + FinalAnswerGrace, Cancel);
   instant Ended = currentTime();
   RunningRetries.erase(Call.Id);
+  if (Connection->brokeWithoutAnswer())
+    co_await checkBroken(Call, Start);
   returnToPool(std::move(Connection));
   Answer.RunTime = Ended - Now;
   recordResult(*Job, Answer, Ended);
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -10,6 +10,7 @@
 #include "mesh/worker_connection.h"
 #include "moves/evidence.h"
 #include "routing/body_admission.h"
+#include "routing/broken_calls.h"
 #include "routing/slot_queue.h"
 
 namespace chivebeam {
@@ -79,6 +80,13 @@
   awaitable<void> runOnWorker(job_ptr Job);
   awaitable<std::shared_ptr<worker_connection>>
   acquireConnection(bool Idempotent);
+  /// Opens a connection; returns null if the backend server can't be reached.
+  awaitable<std::shared_ptr<worker_connection>> openConnection();
+  /// Connects to the backend server after a call's connection broke, which
+  /// shows whether the server is gone.
+  awaitable<void> checkBroken(const mesh_call &Call, worker_start Start);
+  /// Called when this start of the backend server is known to be gone.
+  void serverEnded(const worker_start &Start, instant Now);
   std::shared_ptr<worker_connection> takeIdle(microseconds MaxIdle);
   void returnToPool(std::shared_ptr<worker_connection> Connection);
   bool isForCurrentWorker(const mesh_call &Call) const;
@@ -103,6 +111,8 @@
   std::unordered_map<std::uint64_t, one_shot<bool>> SlotWaiters;
   /// The most recently used is last.
   std::vector<std::shared_ptr<worker_connection>> Idle;
+  broken_calls Broken;
+  bool ServerGone = false; ///< nothing accepts connections at its address
   decaying_ratio Failures{FailureHalfLife};
   evidence_by_route Evidence;
   refusal_ratios Downstream;
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -4,6 +4,7 @@
 
 #include "base/names.h"
 #include "mesh/header_list.h"
+#include "routing/call_fingerprint.h"
 #include "routing/home_load.h"
 #include "routing/retry_policy.h"
 
@@ -38,6 +39,8 @@
   /// Size of a body that is sent only after the home node has asked for it;
   /// zero if Body is complete.
   std::uint64_t OfferedBytes = 0;
+  /// Of the complete call; zero if the entry node sends none.
+  call_fingerprint Fingerprint;
 };
 
 /// Result of one attempt at a backend server. Value type.
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -135,6 +135,7 @@
                             const call_protocol &Protocol, instant Until,
                             const cancel_signal &Cancel) {
   std::shared_ptr<worker_connection> Self = shared_from_this();
+  AnyByteRead = false;
   auto Executor = co_await asio::this_coro::executor;
   asio::steady_timer Timer(Executor, Until - currentTime());
   Timer.async_wait([Self](error_code Code) {
@@ -154,14 +155,15 @@
   mesh_answer Answer = co_await readAnswer(Call, Protocol);
   Cancel.onRaise(nullptr);
   Timer.cancel();
+  Broken = Answer.Status == 0 && !AnyByteRead && !TimedOut && !Cancel.raised();
   if (Answer.Status == 0 || !SendDone || Buffer.size() > 0 || TimedOut)
     close();
   IdleSince = currentTime();
   co_return Answer;
 }
 
-awaitable<std::shared_ptr<worker_connection>>
-connectToWorker(const address &Worker, milliseconds Timeout) {
+awaitable<worker_connect_result> connectToWorker(const address &Worker,
+                                                 milliseconds Timeout) {
   auto Executor = co_await asio::this_coro::executor;
   auto Socket = std::make_shared<tcp::socket>(Executor);
   asio::steady_timer Timer(Executor, Timeout);
@@ -173,9 +175,11 @@
   error_code Code;
   co_await Socket->async_connect(toTcp(Worker), orError(Code));
   if (Timer.cancel() == 0 || Code || !Socket->is_open())
-    co_return nullptr;
+    co_return worker_connect_result{nullptr,
+                                    Code == asio::error::connection_refused};
   Socket->set_option(tcp::no_delay(true), Code);
-  co_return std::make_shared<worker_connection>(std::move(*Socket));
+  co_return worker_connect_result{
+      std::make_shared<worker_connection>(std::move(*Socket)), false};
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/worker_connection.h
+++ b/src/chivebeam/mesh/worker_connection.h
@@ -24,6 +24,9 @@
   bool isIdle();
   /// True if the connection may carry another call.
   bool reusable() const { return Reusable; }
+  /// True if the other side ended the connection during the last exchange and
+  /// before any byte of an answer.
+  bool brokeWithoutAnswer() const { return Broken; }
   void close();
 
   /// Time when the last answer was complete.
@@ -48,10 +51,17 @@
   bool SendFailed = false;
   bool TimedOut = false;
   bool AnyByteRead = false;
+  bool Broken = false;
 };
 
-/// Connects to the backend server; returns null if it can't be reached in time.
-awaitable<std::shared_ptr<worker_connection>>
-connectToWorker(const address &Worker, milliseconds Timeout);
+/// Result of an attempt to connect to a backend server.
+struct worker_connect_result {
+  std::shared_ptr<worker_connection> Connection; ///< null if it failed
+  bool Refused = false; ///< no process accepts connections at the address
+};
+
+/// Connects to the backend server.
+awaitable<worker_connect_result> connectToWorker(const address &Worker,
+                                                 milliseconds Timeout);
 
 } // namespace chivebeam
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -153,6 +153,7 @@
   Out.unasked = static_cast<std::int32_t>(Call.RefusedAtEntry);
   Out.usual_us = Call.UsualDuration.count();
   Out.offered_bytes = static_cast<std::int64_t>(Call.OfferedBytes);
+  Out.fingerprint = static_cast<std::int64_t>(Call.Fingerprint.value());
   return Out;
 }
 
@@ -176,6 +177,8 @@
   Call.UsualDuration = microseconds(std::max<std::int64_t>(In.usual_us, 0));
   Call.OfferedBytes =
       static_cast<std::uint64_t>(std::max<std::int64_t>(In.offered_bytes, 0));
+  Call.Fingerprint =
+      call_fingerprint(static_cast<std::uint64_t>(In.fingerprint));
   return Call;
 }
 
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -185,6 +185,8 @@
   // Size of a body that is sent only after the home node has requested it; zero
   // if the body follows this frame.
   16: i64 offered_bytes
+  // Hash of the content of the call; zero if unknown.
+  17: i64 fingerprint
 }
 
 struct call_answer {
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -3367,6 +3367,10 @@
 void call_request::__set_offered_bytes(const int64_t val) {
   this->offered_bytes = val;
 }
+
+void call_request::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
 std::ostream& operator<<(std::ostream& out, const call_request& obj)
 {
   obj.printTo(out);
@@ -3535,6 +3539,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3624,6 +3636,10 @@
   xfer += oprot->writeI64(this->offered_bytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3647,6 +3663,7 @@
   swap(a.repeat, b.repeat);
   swap(a.usual_us, b.usual_us);
   swap(a.offered_bytes, b.offered_bytes);
+  swap(a.fingerprint, b.fingerprint);
   swap(a.__isset, b.__isset);
 }
 
@@ -3667,6 +3684,7 @@
   repeat = other88.repeat;
   usual_us = other88.usual_us;
   offered_bytes = other88.offered_bytes;
+  fingerprint = other88.fingerprint;
   __isset = other88.__isset;
 }
 call_request& call_request::operator=(const call_request& other89) {
@@ -3686,6 +3704,7 @@
   repeat = other89.repeat;
   usual_us = other89.usual_us;
   offered_bytes = other89.offered_bytes;
+  fingerprint = other89.fingerprint;
   __isset = other89.__isset;
   return *this;
 }
@@ -3708,6 +3727,7 @@
   out << ", " << "repeat=" << to_string(repeat);
   out << ", " << "usual_us=" << to_string(usual_us);
   out << ", " << "offered_bytes=" << to_string(offered_bytes);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1324,7 +1324,7 @@
 std::ostream& operator<<(std::ostream& out, const home_record& obj);
 
 typedef struct _call_request__isset {
-  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false) {}
+  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false), fingerprint(false) {}
   bool id :1;
   bool service_name :1;
   bool route :1;
@@ -1341,6 +1341,7 @@
   bool repeat :1;
   bool usual_us :1;
   bool offered_bytes :1;
+  bool fingerprint :1;
 } _call_request__isset;
 
 class call_request : public virtual ::apache::thrift::TBase {
@@ -1363,7 +1364,8 @@
                  unasked(0),
                  repeat(0),
                  usual_us(0),
-                 offered_bytes(0) {
+                 offered_bytes(0),
+                 fingerprint(0) {
   }
 
   virtual ~call_request() noexcept;
@@ -1383,6 +1385,7 @@
   bool repeat;
   int64_t usual_us;
   int64_t offered_bytes;
+  int64_t fingerprint;
 
   _call_request__isset __isset;
 
@@ -1418,6 +1421,8 @@
 
   void __set_offered_bytes(const int64_t val);
 
+  void __set_fingerprint(const int64_t val);
+
   bool operator == (const call_request & rhs) const
   {
     if (!(id == rhs.id))
@@ -1452,6 +1457,8 @@
       return false;
     if (!(offered_bytes == rhs.offered_bytes))
       return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
     return true;
   }
   bool operator != (const call_request &rhs) const {
