Let backend servers of the mesh tests crash and start again

A server ends when it runs a request that its script names: all its connections close without an answer, new ones are refused, and after half a second it is back as a new process whose reports start from 1.

--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -16,6 +16,9 @@
 
 constexpr seconds TestTimeout{60};
 constexpr seconds ConditionLimit{20};
+/// A crashing request ends its server after this time.
+constexpr milliseconds CrashDelay{10};
+constexpr milliseconds RestartTime{500};
 const address AnyPort{"127.0.0.1", 0};
 
 mesh_dependencies makeDependencies() {
@@ -74,8 +77,20 @@
   keepForever(std::move(Nodes));
 }
 
-scripted_worker::script mesh_fixture::serverOf(mesh_worker &Worker) {
-  return [&Worker](tcp::socket &Socket) -> awaitable<void> {
+awaitable<void> mesh_fixture::crashServer(std::size_t Index) {
+  mesh_worker &Worker = *Workers[Index];
+  Worker.Server->crash();
+  ++Worker.Crashes;
+  co_await sleepFor(RestartTime);
+  ++Worker.StartedAtMs;
+  Worker.Sequence = 0;
+  Worker.Server->restart();
+  co_await report(Index);
+}
+
+scripted_worker::script mesh_fixture::serverOf(std::size_t Index) {
+  mesh_worker &Worker = *Workers[Index];
+  return [this, Index, &Worker](tcp::socket &Socket) -> awaitable<void> {
     beast::flat_buffer Buffer;
     while (auto Request = co_await readRequest(Socket, Buffer)) {
       Worker.Received.push_back(*Request);
@@ -83,7 +98,15 @@
       Worker.MaxRunning = std::max(Worker.MaxRunning, Worker.Running);
       if (Worker.Script.Delay.count() > 0)
         co_await sleepFor(Worker.Script.Delay);
+      if (Worker.Script.Crashes && Worker.Script.Crashes(*Request)) {
+        co_await sleepFor(CrashDelay);
+        // It may have ended under another request meanwhile.
+        if (Socket.is_open())
+          asio::co_spawn(*Context, crashServer(Index), asio::detached);
+      }
       --Worker.Running;
+      if (!Socket.is_open())
+        co_return;
       if (Worker.Script.Answer) {
         co_await Worker.Script.Answer(Socket, *Request);
         continue;
@@ -107,7 +130,7 @@
   Worker.Id = "w-" + std::to_string(Index);
   Worker.Service = Service;
   Worker.Slots = Slots;
-  Worker.Server = std::make_unique<scripted_worker>(*Context, serverOf(Worker));
+  Worker.Server = std::make_unique<scripted_worker>(*Context, serverOf(Index));
   mesh_settings Settings;
   Settings.Node = node_id("node-" + std::to_string(Index));
   Settings.Domain = failure_domain(Domain);
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -14,6 +14,8 @@
                                 const http::request<http::string_body> &)>
       Answer;
   milliseconds Delay{0};
+  /// If set and true for a request, the server crashes while it runs it.
+  std::function<bool(const http::request<http::string_body> &)> Crashes;
 };
 
 /// A backend server of the platform, as nodes see it.
@@ -29,6 +31,7 @@
   std::vector<http::request<http::string_body>> Received;
   unsigned Running = 0;
   unsigned MaxRunning = 0;
+  unsigned Crashes = 0;
 };
 
 /// Returns the status of an answer; zero if there is none.
@@ -107,7 +110,9 @@
 
 private:
   void startNode(std::size_t Index, mesh_settings Settings);
-  scripted_worker::script serverOf(mesh_worker &Worker);
+  scripted_worker::script serverOf(std::size_t Index);
+  /// Ends the backend server; a new process of it starts after a while.
+  awaitable<void> crashServer(std::size_t Index);
 
   std::unique_ptr<asio::io_context> Context;
   std::unique_ptr<stand_ins::platform_store> Store;
--- a/tests/stand_ins/scripted_http.cpp
+++ b/tests/stand_ins/scripted_http.cpp
@@ -29,7 +29,21 @@
 }
 
 awaitable<void> scripted_worker::serve(tcp::socket Socket) {
+  Open.insert(&Socket);
   co_await Script(Socket);
+  Open.erase(&Socket);
+}
+
+void scripted_worker::crash() {
+  error_code Ignored;
+  Acceptor.close(Ignored);
+  for (tcp::socket *Socket : Open)
+    Socket->close(Ignored);
+}
+
+void scripted_worker::restart() {
+  Bound = openAcceptor(Acceptor, Bound).value();
+  asio::co_spawn(Context, acceptLoop(), asio::detached);
 }
 
 awaitable<void> caller::connect(address To) {
--- a/tests/stand_ins/scripted_http.h
+++ b/tests/stand_ins/scripted_http.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 
 #include "net/asio_types.h"
 
@@ -16,6 +17,11 @@
 
   scripted_worker(asio::io_context &Context, script Script);
   const address &bound() const { return Bound; }
+  /// Ends as a crash does: all connections close without an answer and new ones
+  /// are refused.
+  void crash();
+  /// Accepts connections again at the same address.
+  void restart();
 
   unsigned Requests = 0; ///< counted by the scripts
 
@@ -27,6 +33,7 @@
   tcp::acceptor Acceptor;
   script Script;
   address Bound;
+  std::set<tcp::socket *> Open;
 };
 
 /// One HTTP connection of a caller.
