Let the tests of the configuration's age wait until nodes rely on watchers

The tests' nodes start as processes that replace earlier ones, so they read the store themselves at first, and the third node still did so when its watchers were cut off: a_node_reads_the_store_if_its_watchers_cannot did not show the switch from relying on watchers to reading. Found by review, which disabled the age limit and saw the test pass. The tests now wait until no node reads the store for itself.

--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -43,6 +43,11 @@
   /// Starts a graceful stop, as SIGTERM does.
   void beginStop();
   const mesh_settings &settings() const { return Settings; }
+  /// True if this node reads the operator's documents from the store although
+  /// it is no watcher.
+  bool isOnStandby() const {
+    return operatorMode() == subscription_mode::standby;
+  }
   bool isReady() const;
   /// True if this node watches the store for others.
   bool isWatcher() const { return Registrar.isWatcher(); }
--- a/tests/mesh/config_age_test.cpp
+++ b/tests/mesh/config_age_test.cpp
@@ -39,11 +39,19 @@
   return Nodes;
 }
 
-/// Waits until both slots for watchers are held.
+bool anyOnStandby(mesh_fixture &Mesh) {
+  for (std::size_t Index = 0; Index < Mesh.size(); ++Index)
+    if (Mesh.node(Index).isOnStandby())
+      return true;
+  return false;
+}
+
+/// Waits until both slots for watchers are held and the other nodes rely on
+/// watchers.
 awaitable<std::vector<std::size_t>> findWatchers(mesh_fixture &Mesh) {
-  co_await Mesh.until([&] { return Mesh.watchersOf("zone-a").size() == 2; });
-  // Watchers are settled and have read the store.
-  co_await Mesh.pause(milliseconds(1'500));
+  co_await Mesh.until([&] {
+    return Mesh.watchersOf("zone-a").size() == 2 && !anyOnStandby(Mesh);
+  });
   co_return Mesh.watchersOf("zone-a");
 }
 
