Wait in the tests for the last watch of a node that was on standby

With the age limit disabled (a trial), a_node_reads_the_store_if_its_watchers_cannot still passed: the last watch of the node's time on standby, which ends within a second, delivered the change. It fails with the limit disabled now, and passes three times with it.

--- a/tests/mesh/config_age_test.cpp
+++ b/tests/mesh/config_age_test.cpp
@@ -52,6 +52,8 @@
   co_await Mesh.until([&] {
     return Mesh.watchersOf("zone-a").size() == 2 && !anyOnStandby(Mesh);
   });
+  // The last watch of a node that was on standby ends meanwhile.
+  co_await Mesh.pause(milliseconds(1'500));
   co_return Mesh.watchersOf("zone-a");
 }
 
