Take the limits of callers from the newest configuration

Cause: a session read the limits when it began to wait for a request, not when the request arrived. So the first request after a change was judged by the earlier limits, and the earlier idle timeout ended connections that callers may still use.

The limits are now read after the wait. If a new configuration allows a longer idle time, waits under way are extended; they are not shortened, since a caller may not know of the change yet.

mesh_config_use, run on the code before: a_kept_connection_takes_the_newest_limits got 413, a_longer_idle_timeout_holds_for_idle_connections got no answer; both pass now. a_shorter_idle_timeout_holds_from_the_next_request passed before and passes now. mesh_calls and mesh_changes pass.

--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "mesh/caller_session.h"
 
+#include <algorithm>
+
 #include "data/request_body.h"
 #include "data/request_checks.h"
 #include "data/session_tools.h"
@@ -49,10 +51,22 @@
 }
 
 void caller_session::closeIfIdle() {
-  if (Idle)
+  if (!Idle)
+    return;
+  CloseRequested = true;
+  Stream.cancel();
+}
+
+void caller_session::extendIdleTime() {
+  if (Idle && IdleSince + limits().IdleTimeout > IdleUntil)
     Stream.cancel();
 }
 
+caller_limits caller_session::limits() const {
+  return Shared.State.view() ? Shared.State.view()->Config->callerLimits()
+                             : caller_limits();
+}
+
 own_answer caller_session::answerTo(const error_code &Code) const {
   if (Code == beast::error::timeout)
     return own_answer::too_slow;
@@ -63,23 +77,31 @@
   return own_answer::bad_request;
 }
 
-awaitable<bool> caller_session::readHeader(request_parser &Parser) {
-  const caller_limits Limits = Shared.State.view()
-                                   ? Shared.State.view()->Config->callerLimits()
-                                   : caller_limits();
-  Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
-  Parser.body_limit(Limits.MaxBodyBytes);
+awaitable<bool> caller_session::awaitRequest() {
   error_code Code;
-  if (Buffer.size() == 0) {
-    Idle = true;
-    Stream.expires_after(Limits.IdleTimeout);
+  CloseRequested = false;
+  Idle = true;
+  IdleSince = currentTime();
+  IdleUntil = IdleSince;
+  do {
+    IdleUntil = std::max(IdleUntil, IdleSince + limits().IdleTimeout);
+    Stream.expires_after(IdleUntil - currentTime());
     std::size_t Got = co_await Stream.async_read_some(Buffer.prepare(ReadBytes),
                                                       orError(Code));
-    Idle = false;
     Buffer.commit(Got);
-    if (Code)
-      co_return false;
-  }
+  } while (Code == asio::error::operation_aborted && !CloseRequested);
+  Idle = false;
+  co_return !Code;
+}
+
+awaitable<bool> caller_session::readHeader(request_parser &Parser) {
+  if (Buffer.size() == 0 && !co_await awaitRequest())
+    co_return false;
+  // The configuration may have changed during the wait.
+  const caller_limits Limits = limits();
+  Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
+  Parser.body_limit(Limits.MaxBodyBytes);
+  error_code Code;
   Stream.expires_after(Limits.HeaderTimeout);
   co_await http::async_read_header(Stream, Buffer, Parser, orError(Code));
   Stream.expires_never();
--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -44,11 +44,18 @@
   /// Closes the connection if it is waiting for a request and no byte of it has
   /// arrived.
   void closeIfIdle();
+  /// Applies the idle timeout of a new configuration to a connection that is
+  /// waiting for a request. A wait is extended but never shortened, because the
+  /// caller may not know of the change yet.
+  void extendIdleTime();
 
 private:
   using request_parser = http::request_parser<http::string_body>;
 
   awaitable<bool> serveRequest();
+  /// Waits for the first bytes of a request; returns false if none arrive
+  /// within the idle timeout.
+  awaitable<bool> awaitRequest();
   awaitable<bool> readHeader(request_parser &Parser);
   awaitable<bool> readBody(request_parser &Parser, instant ArrivedAt);
   awaitable<bool> runCall(http::request<http::string_body> Request,
@@ -57,12 +64,17 @@
   awaitable<bool> write(unsigned Status, const header_list &Fields,
                         shared_body Body, bool Keep, bool HeadOnly);
   own_answer answerTo(const error_code &Code) const;
+  /// Returns the limits of the configuration that is in force.
+  caller_limits limits() const;
 
   session_context &Shared;
   beast::tcp_stream Stream;
   disconnect_watcher Watch;
   beast::flat_buffer Buffer;
   bool Idle = false;
+  bool CloseRequested = false;
+  instant IdleUntil; ///< end of the wait for a request, while Idle is set
+  instant IdleSince;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -248,6 +248,13 @@
   });
   Hub.setPeers(Others);
   Router.viewChanged();
+  if (!State.view())
+    return;
+  milliseconds IdleTimeout = State.view()->Config->callerLimits().IdleTimeout;
+  if (std::exchange(IdleTimeoutInForce, IdleTimeout) == IdleTimeout)
+    return;
+  for (caller_session *Session : OpenSessions)
+    Session->extendIdleTime();
 }
 
 awaitable<void> mesh_node::tickLoop() {
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -98,6 +98,7 @@
   http_service Readiness;
   http_service MetricsService;
   std::set<caller_session *> OpenSessions;
+  milliseconds IdleTimeoutInForce{0}; ///< of callers' connections
   evidence_by_route ReportedEvidence;
   instant ReportedAt;
   instant PeersPingedAt;
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -164,9 +164,9 @@
       {"services", std::move(Names)},
       {"limits",
        {{"maxHeaderBytes", 16'384},
-        {"maxBodyBytes", 1 << 20},
+        {"maxBodyBytes", MaxBodyBytes},
         {"headerTimeoutS", 3},
-        {"idleTimeoutS", 15}}},
+        {"idleTimeoutS", IdleTimeoutS}}},
       {"virtualHosts",
        {json::object{{"host", "shop.example"}, {"paths", Routes}}}}};
   Store->put("op/config", json::serialize(Config));
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -104,6 +104,9 @@
   awaitable<void> pause(milliseconds Time) { return sleepFor(Time); }
 
   double LinkBytesPerSecond = 0; ///< of nodes that are added after it is set
+  /// Limits in configurations that are stored after they are set.
+  double IdleTimeoutS = 15;
+  std::uint64_t MaxBodyBytes = 1 << 20;
 
 private:
   void startNode(std::size_t Index, mesh_settings Settings);
