Ask the next holder of a configuration without waiting for its next frame

Cause: a node requested a configuration only on arrival of a frame of a peer. If the peer that it asked did not answer, or its connection ended, the request blocked all others for 0.6 s, and after that the node waited for the next frame of another peer, which without calls comes up to a second later.

The node now remembers which peers hold a newer configuration. The tick asks the next one when an answer is overdue, and at once when the connection with the asked one has ended or the answer was older than what another peer holds. Still one request is open at a time.

--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -306,7 +306,7 @@
   // are asked for it only if no watcher delivers it.
   bool AskAtOnce = Status.StoreCurrent && !Own.Watches;
   return CatchUp.peerReported(Status.Config, configNumber(), currentTime(),
-                              AskAtOnce);
+                              AskAtOnce, From);
 }
 
 void mesh_state::nodeAnswered(const node_id &Node) {
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -109,6 +109,12 @@
   /// Applies a move that this node has decided or read from the store.
   void applyMove(const service_move &Move) { applyMove(Move, Own.Node); }
   bool peerReported(const node_id &From, const peer_status &Status) override;
+  std::optional<node_id> nextConfigSource(instant Now) override {
+    return CatchUp.nextSource(configNumber(), Now);
+  }
+  void connectionEnded(const node_id &Node) override {
+    CatchUp.connectionEnded(Node);
+  }
   bool digestDiffers(const node_id &From, std::uint64_t Digest) override;
   void nodeAnswered(const node_id &Node) override;
   /// True if a peer has reported a newer configuration than this node's.
--- a/src/chivebeam/mesh/peer_hub.cpp
+++ b/src/chivebeam/mesh/peer_hub.cpp
@@ -73,6 +73,17 @@
     Link->ping();
 }
 
+void peer_hub::sendOverAny(const node_id &Node, const peer_frame &Frame) {
+  auto Link = Links.find(Node);
+  if (Link != Links.end() && Link->second->isOpen())
+    return Link->second->send(Frame);
+  for (auto Weak = Sessions.rbegin(); Weak != Sessions.rend(); ++Weak)
+    if (auto Session = Weak->lock();
+        Session && Session->isOpen() && Session->peer() == Node)
+      return Session->send(Frame);
+  send(Node, Frame);
+}
+
 std::vector<std::shared_ptr<peer_session>> peer_hub::openSubscribers() const {
   std::vector<std::shared_ptr<peer_session>> Open;
   // The newest session of a node comes first: an older one may be dead.
@@ -136,6 +147,8 @@
   for (const std::weak_ptr<peer_session> &Weak : Sessions)
     if (auto Session = Weak.lock())
       Session->closeIfDead(Now);
+  if (std::optional<node_id> Source = PeerState.nextConfigSource(Now))
+    sendOverAny(*Source, frame(frame_kind::config_query));
 }
 
 std::size_t peer_hub::openLinks() const {
--- a/src/chivebeam/mesh/peer_hub.h
+++ b/src/chivebeam/mesh/peer_hub.h
@@ -58,6 +58,9 @@
   /// node is unknown.
   peer_link *linkTo(const node_id &Node);
   std::vector<std::shared_ptr<peer_session>> openSubscribers() const;
+  /// Sends a frame over the newest open connection with the node, whichever
+  /// node opened it; opens a link if there is none.
+  void sendOverAny(const node_id &Node, const peer_frame &Frame);
 
   asio::io_context &Context;
   peer_state_listener &PeerState;
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -223,6 +223,7 @@
   Channel.reset();
   Silent = false;
   Failed = !std::exchange(IdleClosed, false);
+  PeerState.connectionEnded(Node);
   failPending("the connection to the home node broke");
 }
 
--- a/src/chivebeam/mesh/peer_session.cpp
+++ b/src/chivebeam/mesh/peer_session.cpp
@@ -107,6 +107,8 @@
 }
 
 void peer_session::onClosed() {
+  if (!Peer.empty())
+    PeerState.connectionEnded(Peer);
   for (auto &[Number, Offered] : std::exchange(Offers, {}))
     Home.bodyEnded(Offered.Offer);
   for (auto &[Number, Cancel] : std::exchange(Calls, {}))
--- a/src/chivebeam/mesh/peer_state_listener.h
+++ b/src/chivebeam/mesh/peer_state_listener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "membership/record_digest.h"
@@ -50,6 +51,12 @@
   /// Called with the status in each frame of another node; From is empty if
   /// that node is not known yet. Returns whether to request its configuration.
   virtual bool peerReported(const node_id &From, const peer_status &Status) = 0;
+  /// Returns the node from which to request a newer configuration now, because
+  /// an earlier request was not answered or could not be made yet. Called
+  /// several times a second.
+  virtual std::optional<node_id> nextConfigSource(instant Now) = 0;
+  /// Called when a connection to the node has ended.
+  virtual void connectionEnded(const node_id &Node) = 0;
   /// Called with the digest in a peer's answer to a ping. Returns whether to
   /// request its records.
   virtual bool digestDiffers(const node_id &From, std::uint64_t Digest) = 0;
--- a/tests/config/config_catch_up_test.cpp
+++ b/tests/config/config_catch_up_test.cpp
@@ -62,3 +62,45 @@
                                      config_number(Step + 1), Now));
   }
 }
+
+// Guards against a node that waits for the next frame of another peer after the
+// one that it asked has fallen silent.
+BOOST_AUTO_TEST_CASE(the_next_holder_is_asked_without_another_frame) {
+  config_catch_up CatchUp;
+  BOOST_TEST(CatchUp.peerReported(New, Old, Start, true, node_id("a")));
+  BOOST_TEST(!CatchUp.nextSource(Old, Start + milliseconds(100)).has_value());
+  BOOST_TEST(!CatchUp.peerReported(New, Old, Start + milliseconds(200), true,
+                                   node_id("b")));
+  BOOST_TEST(!CatchUp.nextSource(Old, Start + milliseconds(500)).has_value());
+  BOOST_TEST(
+      (CatchUp.nextSource(Old, Start + milliseconds(600)) == node_id("b")));
+  // The second answer is waited for twice as long; then the first peer is asked
+  // again.
+  BOOST_TEST(!CatchUp.nextSource(Old, Start + milliseconds(1'700)).has_value());
+  BOOST_TEST(
+      (CatchUp.nextSource(Old, Start + milliseconds(1'900)) == node_id("a")));
+  BOOST_TEST(!CatchUp.nextSource(New, Start + milliseconds(9'000)).has_value());
+}
+
+// Guards against a request that stays bound to a peer whose connection ended.
+BOOST_AUTO_TEST_CASE(the_next_holder_is_asked_when_a_connection_ends) {
+  config_catch_up CatchUp;
+  BOOST_TEST(CatchUp.peerReported(New, Old, Start, true, node_id("a")));
+  BOOST_TEST(!CatchUp.peerReported(New, Old, Start, true, node_id("b")));
+  CatchUp.connectionEnded(node_id("c"));
+  BOOST_TEST(!CatchUp.nextSource(Old, Start + milliseconds(10)).has_value());
+  CatchUp.connectionEnded(node_id("a"));
+  BOOST_TEST(
+      (CatchUp.nextSource(Old, Start + milliseconds(20)) == node_id("b")));
+}
+
+// Guards against a node that asked a peer for an intermediate configuration and
+// then waits for the next frame of the peer that holds the newest one.
+BOOST_AUTO_TEST_CASE(the_holder_of_the_newest_is_asked_after_an_older_answer) {
+  config_catch_up CatchUp;
+  config_number Between(6);
+  BOOST_TEST(CatchUp.peerReported(Between, Old, Start, true, node_id("a")));
+  BOOST_TEST(!CatchUp.peerReported(New, Old, Start, true, node_id("b")));
+  BOOST_TEST(
+      (CatchUp.nextSource(Between, Start + milliseconds(100)) == node_id("b")));
+}
