Apply a configuration before deciding whether to request one

A configuration that arrived later than 0.6 s after its request was requested again by the frame that carried it: the frame's number was compared with the node's before its text was applied. On a slow or busy link this sends some hundred kilobytes twice, ahead of calls and later configurations. The text is now applied first, so the node is no longer behind when it decides.

--- a/src/chivebeam/mesh/peer_protocol.cpp
+++ b/src/chivebeam/mesh/peer_protocol.cpp
@@ -93,6 +93,9 @@
 
 bool peer_protocol::handle(const peer_frame &Frame, const node_id &From,
                            frame_channel &Channel) {
+  // Applied first, so that it is not requested once more.
+  if (Frame.Kind == frame_kind::config)
+    applyConfig(Frame);
   if (PeerState.peerReported(From,
                              {Frame.Config, Frame.StoreCurrent, Frame.Era}))
     Channel.send(frame(frame_kind::config_query));
@@ -115,7 +118,6 @@
     sendConfig(Frame.Config, Channel);
     return true;
   case frame_kind::config:
-    applyConfig(Frame);
     return true;
   case frame_kind::records_query:
     sendRecords(Frame, Channel);
--- a/tests/mesh/config_transfer_test.cpp
+++ b/tests/mesh/config_transfer_test.cpp
@@ -1,4 +1,6 @@
 // Tests how a node gets a configuration from the watchers that hold it.
+#include <thread>
+
 #include <boost/test/unit_test.hpp>
 
 #include "mesh/mesh_state.h"
@@ -145,4 +147,23 @@
   Setup.run(Test());
 }
 
+// Guards against a configuration that arrives late and is requested again by
+// the message that carries it.
+BOOST_AUTO_TEST_CASE(a_late_configuration_is_not_requested_again) {
+  transfer_setup Setup;
+  auto Test = [&]() -> awaitable<void> {
+    co_await Setup.connect();
+    Setup.First.announce();
+    co_await Setup.pass(milliseconds(550));
+    BOOST_TEST(Setup.First.Queries == 1u);
+    std::this_thread::sleep_for(milliseconds(100));
+    Setup.First.sendConfig();
+    co_await sleepFor(milliseconds(20));
+    BOOST_TEST(Setup.hasNewest());
+    co_await sleepFor(milliseconds(50));
+    BOOST_TEST(Setup.First.Queries == 1u);
+  };
+  Setup.run(Test());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
