End a stopping node after its answers are sent

What callers saw: answers of backend servers that were cut off, or 502 at the entry node, when a node stopped while it still sent a large answer.

Cause: a stopping node ended its process 0.3 s after the last call had ended. A call counted as ended when its answer was queued: to the caller at its entry node, or to the entry node at its home node. On a slow link, or with a caller that reads slowly, most of an answer was then still in the process. The same held for requests and bodies that were still being received.

Now the node also waits for callers' connections that have a request, for calls and bodies on connections of other nodes, and for their unsent frames. The limit of five sixths of the grace period stays.

Evidence: both new tests failed before: the node had ended 3.3 and 3.6 s after the stop began, with the answer partly unsent. They pass now, and the mesh suites without config_age pass.

--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -44,6 +44,8 @@
   /// Closes the connection if it is waiting for a request and no byte of it has
   /// arrived.
   void closeIfIdle();
+  /// True while a request is read, runs or is answered.
+  bool isBusy() const { return !Idle; }
 
 private:
   using request_parser = http::request_parser<http::string_body>;
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -384,7 +384,7 @@
     for (caller_session *Session : OpenSessions)
       Session->closeIfIdle();
     instant Now = currentTime();
-    bool IsIdle = Router.openCalls() == 0 && Home.active() == 0;
+    bool IsIdle = !hasWork();
     if (!IsIdle)
       IdleSince = instant();
     else if (IdleSince == instant())
@@ -399,6 +399,13 @@
   OnStopped();
 }
 
+bool mesh_node::hasWork() const {
+  return Router.openCalls() > 0 || Home.active() > 0 || Hub.isServing() ||
+         std::any_of(
+             OpenSessions.begin(), OpenSessions.end(),
+             [](const caller_session *Session) { return Session->isBusy(); });
+}
+
 std::string mesh_node::metricsText() {
   home_load Load = Home.load();
   Metrics.set("home_running", Load.Running);
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -69,6 +69,9 @@
   void awaitSignal();
   void reload(std::string_view Why);
   awaitable<void> stop();
+  /// True while calls run, or requests or answers are not transferred
+  /// completely.
+  bool hasWork() const;
   std::string metricsText();
 
   mesh_settings Settings;
--- a/src/chivebeam/mesh/peer_hub.cpp
+++ b/src/chivebeam/mesh/peer_hub.cpp
@@ -144,6 +144,13 @@
                     [](const auto &Item) { return Item.second->isOpen(); }));
 }
 
+bool peer_hub::isServing() const {
+  return std::any_of(Sessions.begin(), Sessions.end(), [](const auto &Weak) {
+    auto Session = Weak.lock();
+    return Session && Session->isBusy();
+  });
+}
+
 std::size_t peer_hub::subscribers() const { return openSubscribers().size(); }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/peer_hub.h
+++ b/src/chivebeam/mesh/peer_hub.h
@@ -52,6 +52,9 @@
   void tick(instant Now);
   std::size_t openLinks() const;
   std::size_t subscribers() const;
+  /// True while a connection that another node opened has calls or frames that
+  /// are not sent completely.
+  bool isServing() const;
 
 private:
   /// Returns the link to a node, which is created if there is none; null if the
--- a/src/chivebeam/mesh/peer_session.h
+++ b/src/chivebeam/mesh/peer_session.h
@@ -26,6 +26,11 @@
   const node_id &peer() const { return Peer; }
   const failure_domain &peerDomain() const { return PeerDomain; }
   void send(const peer_frame &Frame) { Channel->send(Frame); }
+  /// True while the session has calls or frames that are not sent completely.
+  bool isBusy() const {
+    return Channel->isOpen() &&
+           (!Calls.empty() || !Offers.empty() || Channel->isSending());
+  }
   /// Closes the connection if nothing has arrived on it for a long time: the
   /// other node closes an idle link much sooner if it lives.
   void closeIfDead(instant Now);
--- a/tests/mesh/lost_calls_test.cpp
+++ b/tests/mesh/lost_calls_test.cpp
@@ -165,4 +165,100 @@
   });
 }
 
+// Guards against a stopping node whose process ends while an answer that its
+// backend server has made is still on the way to the caller.
+BOOST_AUTO_TEST_CASE(a_stopping_node_ends_after_its_answers_are_sent) {
+  constexpr std::size_t AnswerBytes = 12 << 20;
+  mesh_fixture Mesh({"desk"});
+  Mesh.worker(0).Script.Answer =
+      [](tcp::socket &Socket,
+         const http::request<http::string_body> &Request) -> awaitable<void> {
+    text_answer Answer(http::status::ok, 11);
+    Answer.set("Request-Id", Request["Request-Id"]);
+    Answer.body() = std::string(AnswerBytes, 'x');
+    Answer.prepare_payload();
+    error_code Code;
+    co_await http::async_write(Socket, Answer, orError(Code));
+  };
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    tcp::socket Socket(Mesh.context());
+    error_code Code;
+    co_await Socket.async_connect(toTcp(Mesh.node(0).settings().Callers),
+                                  orError(Code));
+    std::string Request = Mesh.get("/desk/1", "large", 9'000);
+    co_await asio::async_write(Socket, asio::buffer(Request), orError(Code));
+    co_await Mesh.until([&] { return Mesh.worker(0).Received.size() == 1; });
+    Mesh.node(0).beginStop();
+    co_await Mesh.pause(milliseconds(3'600));
+    BOOST_TEST(!Mesh.stopped(0));
+    beast::flat_buffer Buffer;
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(AnswerBytes);
+    co_await http::async_read(Socket, Buffer, Parser, orError(Code));
+    BOOST_TEST(!Code);
+    BOOST_TEST(Parser.get().body().size() == AnswerBytes);
+    co_await Mesh.until([&] { return Mesh.stopped(0); });
+  });
+}
+
+// Guards against a stopping home node whose process ends while an answer is
+// still on the way to the entry node.
+BOOST_AUTO_TEST_CASE(a_stopping_home_node_ends_after_its_answers_are_sent) {
+  constexpr std::size_t AnswerBytes = 15 << 20;
+  mesh_fixture Mesh({"desk"});
+  Mesh.worker(0).Script.Answer =
+      [](tcp::socket &Socket,
+         const http::request<http::string_body> &Request) -> awaitable<void> {
+    text_answer Answer(http::status::ok, 11);
+    Answer.set("Request-Id", Request["Request-Id"]);
+    Answer.body() = std::string(AnswerBytes, 'x');
+    Answer.prepare_payload();
+    error_code Code;
+    co_await http::async_write(Socket, Answer, orError(Code));
+  };
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    tcp::socket Socket(Mesh.context());
+    error_code Code;
+    Socket.open(tcp::v4(), Code);
+    // Most of the answer waits in the node.
+    Socket.set_option(asio::socket_base::receive_buffer_size(64 << 10), Code);
+    co_await Socket.async_connect(toTcp(Mesh.node(0).settings().Peers),
+                                  orError(Code));
+    peer_frame Frame;
+    Frame.Kind = frame_kind::call;
+    Frame.Call = 1;
+    Frame.Request.emplace();
+    Frame.Request->Id = request_id("large");
+    Frame.Request->Worker = worker_id("w-0");
+    Frame.Request->Method = "GET";
+    Frame.Request->Target = "/desk/1";
+    Frame.Request->Fields.push_back({"Request-Id", "large"});
+    Frame.Request->Goal = currentTime() + seconds(9);
+    Frame.Request->Deadline = currentTime() + seconds(9);
+    std::string Bytes = encodeFrameHead(Frame, currentTime());
+    co_await asio::async_write(Socket, asio::buffer(Bytes), orError(Code));
+    co_await Mesh.until([&] { return Mesh.worker(0).Received.size() == 1; });
+    Mesh.node(0).beginStop();
+    instant CheckAt = currentTime() + milliseconds(3'300);
+    bool Checked = false;
+    std::size_t Read = 0;
+    std::string Buffer(96 << 10, '\0');
+    while (!Code && Read < AnswerBytes) {
+      Read +=
+          co_await Socket.async_read_some(asio::buffer(Buffer), orError(Code));
+      if (Checked)
+        continue;
+      co_await Mesh.pause(milliseconds(40));
+      Checked = currentTime() >= CheckAt;
+      if (Checked)
+        BOOST_TEST(!Mesh.stopped(0));
+    }
+    BOOST_TEST(Checked);
+    BOOST_TEST(Read >= AnswerBytes);
+    co_await Mesh.until([&] { return Mesh.stopped(0); });
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
