--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <sys/socket.h>
+
 #include "data/request_body.h"
 #include "data/request_checks.h"
 #include "data/session_tools.h"
@@ -51,7 +53,10 @@
 }
 
 void caller_session::closeIfIdle() {
-  if (!Idle)
+  // A request may have arrived since the last event was handled.
+  char Byte = 0;
+  if (!Idle || ::recv(Stream.socket().native_handle(), &Byte, 1,
+                      MSG_PEEK | MSG_DONTWAIT) > 0)
     return;
   CloseRequested = true;
   Stream.cancel();
--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -48,6 +48,8 @@
   /// waiting for a request. A wait is extended but never shortened, because the
   /// caller may not know of the change yet.
   void extendIdleTime();
+  /// True while a request is read, runs or is answered.
+  bool isBusy() const { return !Idle; }
 
 private:
   using request_parser = http::request_parser<http::string_body>;
