Refuse a request that has crashed three backend servers

What callers saw: a request that crashes each server that runs it came again and again; 18 servers ended under one, and for nearly a minute calls of its service and of those that call it were refused for lack of capacity.

Cause: within one request the entry node sent it on to up to maxAttempts servers, and no node related a request to the earlier ones.

Why this works: a home node whose server ended tells the mesh at once which calls ran (the same links as for records and moves; watchers pass the news on; a new subscriber gets all of it), and tells the entry node with the answer of the lost call, before that decides on a retry. Entry nodes refuse a call that ran at three ends with 503 and the rest of ten minutes as Retry-After; home nodes check again right before sending. A call that ran at two ends is not sent on within a request. A call that is answered is cleared on all nodes. The news travel in frames of kind records, so that nodes that don't know them skip them.

Two more cases: reset connections to living servers are no ends, and a call beside the crashing one is served later.

Open: the knowledge isn't in the store, so it is gone if all processes restart at once.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -191,9 +191,29 @@
   co_return Result;
 }
 
+bool entry_router::isQuarantined(entry_call &Entry, instant Now) {
+  microseconds Left = State.suspects().refusedFor(Entry.Call.Fingerprint, Now);
+  if (Left.count() == 0)
+    return false;
+  Entry.RetryAfter = Left;
+  Metrics.count("calls_quarantined");
+  return true;
+}
+
+void entry_router::recordServerEnd(const entry_call &Entry,
+                                   const endpoint &Endpoint,
+                                   const mesh_answer &Answer, instant Now) {
+  if (Answer.EndedServer)
+    State.suspectsObserved({{Entry.Call.Fingerprint,
+                             {Endpoint.Worker, Answer.EndedServer->StartedAtMs},
+                             Now}});
+}
+
 bool entry_router::retryIsUseful(const entry_call &Entry,
                                  attempt_outcome Outcome, instant Now) const {
   const mesh_call &Call = Entry.Call;
+  if (!State.suspects().mayRetry(Call.Fingerprint))
+    return false;
   // If a server failed because the services it calls are overloaded, the call
   // would fail on other servers as well.
   const endpoint_group *Group =
@@ -286,6 +306,10 @@
     Entry.RetryAfter = Picker.retryAfterOf(*Group, needsOf(Entry, Now), Now);
   if (Entry.RetryAfter.count() == 0)
     Entry.RetryAfter = NoCapacityRetryAfter;
+  return endAtEntry(Entry, std::move(Reason));
+}
+
+entry_result entry_router::endAtEntry(entry_call &Entry, std::string Reason) {
   mesh_answer Refusal =
       emptyAnswer(attempt_outcome::not_sent, std::move(Reason));
   next_step Step = lastStep(Refusal.Outcome, Entry.History);
@@ -326,6 +350,8 @@
                                                   cancel_signal Cancel) {
   for (;;) {
     instant Started = currentTime();
+    if (isQuarantined(Entry, Started))
+      co_return endAtEntry(Entry, "the call crashes backend servers");
     const endpoint *Chosen = choose(Entry, Started);
     if (!Chosen)
       co_return refuseAtEntry(Entry,
@@ -340,6 +366,7 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
+    recordServerEnd(Entry, Endpoint, Answer, Now);
     recordAttempt(Entry, Answer, Now);
     next_step Step = decideNext(Answer.Outcome, Entry.History, [&] {
       return mayRetry(Entry, Answer.Outcome, Now);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -115,6 +115,12 @@
   /// True if a call may be sent to another backend server. Uses the retry
   /// budget then.
   bool mayRetry(const entry_call &Entry, attempt_outcome Outcome, instant Now);
+  /// True if the call must not reach a backend server, since it crashes them.
+  /// Sets its retry time then.
+  bool isQuarantined(entry_call &Entry, instant Now);
+  /// Notes that the backend server ended while it ran the call.
+  void recordServerEnd(const entry_call &Entry, const endpoint &Endpoint,
+                       const mesh_answer &Answer, instant Now);
   /// True if the call is nested or admitted as a call of an outside caller.
   bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
@@ -126,8 +132,10 @@
                          instant Now) const;
   /// Updates the call's history with the result of an attempt.
   void recordAttempt(entry_call &Entry, const mesh_answer &Answer, instant Now);
-  /// Ends a call without asking a home node, or without asking another one.
+  /// Ends a call for which no home node has capacity.
   entry_result refuseAtEntry(entry_call &Entry, std::string Reason);
+  /// Ends a call without asking a home node, or without asking another one.
+  entry_result endAtEntry(entry_call &Entry, std::string Reason);
   void recordObservation(const entry_call &Entry, const endpoint &Endpoint,
                          const mesh_answer &Answer, microseconds Took,
                          instant Now);
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -29,8 +29,10 @@
 
 home_runner::home_runner(asio::io_context &IoContext,
                          const call_protocol &CallProtocol,
+                         suspect_listener &SuspectListener,
                          double LinkBytesPerSecond)
-    : Context(IoContext), Protocol(CallProtocol), Bodies(LinkBytesPerSecond) {}
+    : Context(IoContext), Protocol(CallProtocol), Suspects(SuspectListener),
+      Bodies(LinkBytesPerSecond) {}
 
 void home_runner::updateWorker(const worker_report &Report) {
   bool IsNewProcess = !Worker || Worker->Start != Report.Start;
@@ -287,6 +289,19 @@
     returnToPool(std::move(Connection));
 }
 
+awaitable<void> home_runner::recordEnd(const mesh_call &Call,
+                                       const worker_start &Start, bool IsBroken,
+                                       mesh_answer &Answer) {
+  if (Answer.Outcome == attempt_outcome::answered &&
+      Suspects.suspects().isSuspect(Call.Fingerprint))
+    Suspects.suspectsObserved({{Call.Fingerprint, {}, currentTime()}});
+  if (!IsBroken)
+    co_return;
+  co_await checkBroken(Call, Start);
+  if (ServerGone || !Worker || Worker->Start != Start)
+    Answer.EndedServer = Start;
+}
+
 void home_runner::serverEnded(const worker_start &Start, instant Now) {
   std::vector<call_fingerprint> Ran = Broken.takeEnded(Start, Now);
   if (Ran.empty())
@@ -298,6 +313,10 @@
       .add("worker", Start.Worker)
       .add("started_ms", Start.StartedAtMs)
       .add("calls", Calls);
+  std::vector<suspect_event> Events;
+  for (call_fingerprint Fingerprint : Ran)
+    Events.push_back({Fingerprint, Start, Now});
+  Suspects.suspectsObserved(Events);
 }
 
 awaitable<void> home_runner::runOnWorker(job_ptr Job) {
@@ -314,6 +333,13 @@
     apply(Queue.releaseUnused(Now));
     co_return refuse(*Job, "the call could not be sent to the backend server");
   }
+  if (Suspects.suspects().refusedFor(Call.Fingerprint, Now).count() > 0) {
+    returnToPool(std::move(Connection));
+    apply(Queue.releaseUnused(Now));
+    // Without a retry time, since this node has capacity for other calls.
+    co_return finish(*Job, emptyAnswer(attempt_outcome::not_sent,
+                                       "the call crashes backend servers"));
+  }
   header_list Fields = Call.Fields;
   Protocol.addWorkerFields(
       Fields, Call,
@@ -328,8 +354,7 @@
       Call, Fields, Protocol, Call.Deadline + FinalAnswerGrace, Cancel);
   instant Ended = currentTime();
   RunningRetries.erase(Call.Id);
-  if (Connection->brokeWithoutAnswer())
-    co_await checkBroken(Call, Start);
+  co_await recordEnd(Call, Start, Connection->brokeWithoutAnswer(), Answer);
   returnToPool(std::move(Connection));
   Answer.RunTime = Ended - Now;
   recordResult(*Job, Answer, Ended);
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -12,6 +12,7 @@
 #include "routing/body_admission.h"
 #include "routing/broken_calls.h"
 #include "routing/slot_queue.h"
+#include "routing/suspect_listener.h"
 
 namespace chivebeam {
 
@@ -26,9 +27,9 @@
   /// otherwise the answer to the call, which was not run.
   using body_decision = std::function<void(std::optional<mesh_answer>)>;
 
-  /// \pre Context and Protocol outlive the runner.
+  /// \pre Context, Protocol and Suspects outlive the runner.
   home_runner(asio::io_context &Context, const call_protocol &Protocol,
-              double LinkBytesPerSecond);
+              suspect_listener &Suspects, double LinkBytesPerSecond);
 
   /// Applies the newest report of the backend server beside this node.
   void updateWorker(const worker_report &Report);
@@ -85,6 +86,9 @@
   /// Connects to the backend server after a call's connection broke, which
   /// shows whether the server is gone.
   awaitable<void> checkBroken(const mesh_call &Call, worker_start Start);
+  /// Updates what is known of the call after an attempt to run it.
+  awaitable<void> recordEnd(const mesh_call &Call, const worker_start &Start,
+                            bool IsBroken, mesh_answer &Answer);
   /// Called when this start of the backend server is known to be gone.
   void serverEnded(const worker_start &Start, instant Now);
   std::shared_ptr<worker_connection> takeIdle(microseconds MaxIdle);
@@ -103,6 +107,7 @@
 
   asio::io_context &Context;
   const call_protocol &Protocol;
+  suspect_listener &Suspects;
   std::optional<worker_report> Worker;
   bool Stopping = false;
   slot_queue Queue;
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "base/names.h"
+#include "membership/home_record.h"
 #include "mesh/header_list.h"
 #include "routing/call_fingerprint.h"
 #include "routing/home_load.h"
@@ -55,6 +57,9 @@
   microseconds RunTime{0};
   /// After a refusal: time until capacity may be free.
   microseconds RetryAfter{0};
+  /// Start of the backend server that ended while it ran the call. Its name is
+  /// empty in an answer from another node.
+  std::optional<worker_start> EndedServer;
   std::string Reason;       ///< why there is no answer; written to the log
   bool Unreachable = false; ///< true if the home node could not be reached
   /// True if the home node is only silent, so that the answer may still come.
--- a/src/chivebeam/mesh/mesh_membership.cpp
+++ b/src/chivebeam/mesh/mesh_membership.cpp
@@ -32,6 +32,12 @@
   State.onMoveNews([this](const service_move &Move, const node_id &From) {
     Hub.broadcastMove(Move, From);
   });
+  State.onSuspectNews(
+      [this](const std::vector<suspect_event> &News, const node_id &From) {
+        peer_frame Frame = Hub.frame(frame_kind::records);
+        Frame.Suspects = News;
+        Hub.broadcast(Frame, From);
+      });
   State.onNewConfig([this] { announceStatus(); });
   State.onOwnRecord([this](const home_record &Record) {
     peer_frame Frame = Hub.frame(frame_kind::records);
--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -298,6 +298,29 @@
   return true;
 }
 
+std::vector<suspect_event> mesh_state::knownSuspects() const {
+  return Suspects.events(currentTime());
+}
+
+void mesh_state::applySuspects(const std::vector<suspect_event> &Events,
+                               const node_id &From) {
+  std::vector<suspect_event> News;
+  instant Now = currentTime();
+  for (const suspect_event &Event : Events) {
+    bool WasRefused = Suspects.refusedFor(Event.Fingerprint, Now).count() > 0;
+    if (!Suspects.apply(Event, Now))
+      continue;
+    News.push_back(Event);
+    bool IsRefused = Suspects.refusedFor(Event.Fingerprint, Now).count() > 0;
+    if (IsRefused != WasRefused)
+      log_event(IsRefused ? "call_quarantined" : "call_cleared")
+          .add("fingerprint", toHex(Event.Fingerprint))
+          .add("from", From);
+  }
+  if (!News.empty() && OnSuspectNews)
+    OnSuspectNews(News, From);
+}
+
 bool mesh_state::peerReported(const node_id &From, const peer_status &Status) {
   noteEra(Status.Era);
   if (OnPeerStatus && !From.empty())
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -11,6 +11,7 @@
 #include "mesh/operator_document_format.h"
 #include "mesh/peer_state_listener.h"
 #include "routing/mesh_view.h"
+#include "routing/suspect_listener.h"
 
 namespace chivebeam {
 
@@ -19,7 +20,7 @@
 /// one, whether it comes from the store or from a peer. Records that arrive
 /// shortly after each other change the view together. Runs on one io_context;
 /// not thread safe.
-class mesh_state final : public peer_state_listener {
+class mesh_state final : public peer_state_listener, public suspect_listener {
 public:
   using evidence_handler = std::function<void(const evidence_report &)>;
   using change_handler = std::function<void()>;
@@ -29,6 +30,9 @@
                                           const node_id &From)>;
   using move_handler =
       std::function<void(const service_move &, const node_id &From)>;
+  /// Receives events that this node did not know.
+  using suspect_handler = std::function<void(const std::vector<suspect_event> &,
+                                             const node_id &From)>;
   using era_handler = std::function<void(store_era)>;
   using status_handler =
       std::function<void(const node_id &From, const peer_status &)>;
@@ -47,6 +51,9 @@
   void onOwnCopy(record_handler Handler) { OnOwnCopy = std::move(Handler); }
   void onNews(news_handler Handler) { OnNews = std::move(Handler); }
   void onMoveNews(move_handler Handler) { OnMoveNews = std::move(Handler); }
+  void onSuspectNews(suspect_handler Handler) {
+    OnSuspectNews = std::move(Handler);
+  }
   /// Called when the store came back from an older copy: this node learns it
   /// from the store or from another node.
   void onEraRise(era_handler Handler) { OnEraRise = std::move(Handler); }
@@ -95,6 +102,13 @@
   const record_buckets &buckets() const override { return Directory.buckets(); }
   std::vector<service_move> knownMoves() const override;
   config_number configNumber() const;
+  std::vector<suspect_event> knownSuspects() const override;
+  const crash_suspects &suspects() const override { return Suspects; }
+  void suspectsObserved(const std::vector<suspect_event> &Events) override {
+    applySuspects(Events, Own.Node);
+  }
+  void applySuspects(const std::vector<suspect_event> &Events,
+                     const node_id &From) override;
   peer_status ownStatus() const override;
   std::uint64_t digest() const override;
   shared_body compressedConfig() override;
@@ -150,6 +164,7 @@
   std::uint64_t OmittedLines = 0;
   std::map<node_id, digest_comparison> Digests; ///< by peer
   service_moves Moves;
+  crash_suspects Suspects;
   fleet_view_ptr View;
   change_handler OnChange;
   change_handler OnNewConfig;
@@ -158,6 +173,7 @@
   record_handler OnOwnCopy;
   news_handler OnNews;
   move_handler OnMoveNews;
+  suspect_handler OnSuspectNews;
   status_handler OnPeerStatus;
   era_handler OnEraRise;
 };
--- a/src/chivebeam/mesh/peer_protocol.cpp
+++ b/src/chivebeam/mesh/peer_protocol.cpp
@@ -56,6 +56,10 @@
   // move is known.
   for (const service_move &Move : PeerState.knownMoves())
     Channel.send(moveFrame(Move));
+  peer_frame Suspects = frame(frame_kind::records);
+  Suspects.Suspects = PeerState.knownSuspects();
+  if (!Suspects.Suspects.empty())
+    Channel.send(Suspects);
   peer_frame Known = frame(frame_kind::records);
   Known.CoveredBuckets = differingBuckets(Request.Buckets, PeerState.buckets());
   if (Known.CoveredBuckets == 0)
@@ -82,6 +86,8 @@
 void peer_protocol::applyRecords(const peer_frame &Frame, const node_id &From,
                                  frame_channel &Channel) {
   PeerState.applyRecords(Frame.Records, From);
+  if (!Frame.Suspects.empty())
+    PeerState.applySuspects(Frame.Suspects, From);
   if (Frame.CoveredBuckets == 0)
     return;
   peer_frame Missing = frame(frame_kind::records);
--- a/src/chivebeam/mesh/peer_state_listener.h
+++ b/src/chivebeam/mesh/peer_state_listener.h
@@ -6,6 +6,7 @@
 #include "mesh/mesh_call.h"
 #include "moves/evidence.h"
 #include "moves/service_move.h"
+#include "routing/crash_suspects.h"
 
 namespace chivebeam {
 
@@ -29,6 +30,8 @@
   virtual std::vector<home_record> recordsIn(std::uint64_t BucketSet) const = 0;
   virtual const record_buckets &buckets() const = 0;
   virtual std::vector<service_move> knownMoves() const = 0;
+  /// Returns the known events of calls that ran when backend servers ended.
+  virtual std::vector<suspect_event> knownSuspects() const = 0;
   virtual peer_status ownStatus() const = 0;
   /// Returns a digest of the records and moves.
   virtual std::uint64_t digest() const = 0;
@@ -47,6 +50,8 @@
   virtual void applyConfig(config_number Number, const shared_body &Text) = 0;
   virtual void handleEvidence(const evidence_report &Report) = 0;
   virtual void applyMove(const service_move &Move, const node_id &From) = 0;
+  virtual void applySuspects(const std::vector<suspect_event> &Events,
+                             const node_id &From) = 0;
   /// Called with the status in each frame of another node; From is empty if
   /// that node is not known yet. Returns whether to request its configuration.
   virtual bool peerReported(const node_id &From, const peer_status &Status) = 0;
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -15,6 +15,7 @@
 /// Longest time that one call may have; larger relative times are clamped to
 /// it.
 constexpr microseconds MaxRemainingTime = std::chrono::minutes(10);
+constexpr microseconds MaxEventAge = std::chrono::hours(1);
 
 void appendSize(std::string &Bytes, std::size_t Size) {
   for (unsigned Byte = 0; Byte < SizeFieldBytes; ++Byte)
@@ -135,6 +136,23 @@
   return Record;
 }
 
+wire::suspect_event toWire(const suspect_event &Event, instant Now) {
+  wire::suspect_event Out;
+  Out.fingerprint = static_cast<std::int64_t>(Event.Fingerprint.value());
+  Out.worker = Event.Start.Worker.str();
+  Out.born_ms = Event.Start.StartedAtMs;
+  Out.age_us = (Now - Event.At).count();
+  return Out;
+}
+
+suspect_event fromWire(const wire::suspect_event &In, instant Now) {
+  microseconds Age =
+      std::clamp(microseconds(In.age_us), microseconds(0), MaxEventAge);
+  return {call_fingerprint(static_cast<std::uint64_t>(In.fingerprint)),
+          {worker_id(In.worker), In.born_ms},
+          Now - Age};
+}
+
 wire::call_request toWire(const mesh_call &Call, instant Now) {
   wire::call_request Out;
   Out.id = Call.Id.str();
@@ -191,6 +209,8 @@
   Out.wait_us = Answer.RetryAfter.count();
   Out.reason = Answer.Reason;
   Out.ran_us = Answer.RunTime.count();
+  if (Answer.EndedServer)
+    Out.__set_ended_born_ms(Answer.EndedServer->StartedAtMs);
   return Out;
 }
 
@@ -209,6 +229,8 @@
   Answer.RetryAfter = microseconds(In.wait_us);
   Answer.Reason = std::move(In.reason);
   Answer.RunTime = microseconds(In.ran_us);
+  if (In.__isset.ended_born_ms)
+    Answer.EndedServer = worker_start{worker_id(), In.ended_born_ms};
   return Answer;
 }
 
@@ -252,6 +274,12 @@
   }
   if (Frame.Evidence)
     Out.__set_evidence(chivebeam::toWire(*Frame.Evidence));
+  if (!Frame.Suspects.empty()) {
+    std::vector<wire::suspect_event> Events;
+    for (const suspect_event &Event : Frame.Suspects)
+      Events.push_back(toWire(Event, Now));
+    Out.__set_suspects(Events);
+  }
   std::string Head = encodeThrift(Out);
   shared_body Body = bodyOf(Frame);
   std::string Bytes;
@@ -296,6 +324,8 @@
     Frame.Body = std::make_shared<const std::string>(std::move(Body));
   for (const wire::home_record &Record : In->records)
     Frame.Records.push_back(fromWire(Record, Now));
+  for (const wire::suspect_event &Event : In->suspects)
+    Frame.Suspects.push_back(fromWire(Event, Now));
   if (In->__isset.evidence)
     Frame.Evidence = chivebeam::fromWire(In->evidence);
   bool Complete = (Frame.Kind != frame_kind::call || Frame.Request) &&
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -8,6 +8,7 @@
 #include "membership/record_digest.h"
 #include "mesh/mesh_call.h"
 #include "moves/evidence.h"
+#include "routing/crash_suspects.h"
 
 namespace chivebeam {
 
@@ -48,6 +49,7 @@
   std::optional<mesh_answer> Answer;
   std::vector<home_record> Records;
   std::optional<evidence_report> Evidence;
+  std::vector<suspect_event> Suspects; ///< in frames of kind records
   shared_body Body; ///< text of a configuration or a move; body of a call
 };
 
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -197,6 +197,17 @@
   5: i64 wait_us
   6: string reason
   7: i64 ran_us
+  // Start of the backend server that ended while it ran the call.
+  8: optional i64 ended_born_ms
+}
+
+// The end of a backend server while it ran a call; without a worker, the
+// call's answer.
+struct suspect_event {
+  1: i64 fingerprint
+  2: string worker
+  3: i64 born_ms
+  4: i64 age_us
 }
 
 struct peer_frame {
@@ -219,4 +230,6 @@
   11: optional list<i64> buckets
   // One bit for each bucket that records covers completely.
   12: i64 covered_buckets
+  // With the records of a node or without any.
+  13: optional list<suspect_event> suspects
 }
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -3763,6 +3763,11 @@
 void call_answer::__set_ran_us(const int64_t val) {
   this->ran_us = val;
 }
+
+void call_answer::__set_ended_born_ms(const int64_t val) {
+  this->ended_born_ms = val;
+__isset.ended_born_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const call_answer& obj)
 {
   obj.printTo(out);
@@ -3859,6 +3864,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ended_born_ms);
+          this->__isset.ended_born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3912,6 +3925,11 @@
   xfer += oprot->writeI64(this->ran_us);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ended_born_ms) {
+    xfer += oprot->writeFieldBegin("ended_born_ms", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->ended_born_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3926,6 +3944,7 @@
   swap(a.wait_us, b.wait_us);
   swap(a.reason, b.reason);
   swap(a.ran_us, b.ran_us);
+  swap(a.ended_born_ms, b.ended_born_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -3937,6 +3956,7 @@
   wait_us = other96.wait_us;
   reason = other96.reason;
   ran_us = other96.ran_us;
+  ended_born_ms = other96.ended_born_ms;
   __isset = other96.__isset;
 }
 call_answer& call_answer::operator=(const call_answer& other97) {
@@ -3947,6 +3967,7 @@
   wait_us = other97.wait_us;
   reason = other97.reason;
   ran_us = other97.ran_us;
+  ended_born_ms = other97.ended_born_ms;
   __isset = other97.__isset;
   return *this;
 }
@@ -3960,6 +3981,159 @@
   out << ", " << "wait_us=" << to_string(wait_us);
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "ran_us=" << to_string(ran_us);
+  out << ", " << "ended_born_ms="; (__isset.ended_born_ms ? (out << to_string(ended_born_ms)) : (out << "<null>"));
+  out << ")";
+}
+
+
+suspect_event::~suspect_event() noexcept {
+}
+
+
+void suspect_event::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void suspect_event::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void suspect_event::__set_born_ms(const int64_t val) {
+  this->born_ms = val;
+}
+
+void suspect_event::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const suspect_event& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t suspect_event::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born_ms);
+          this->__isset.born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t suspect_event::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("suspect_event");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->born_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(suspect_event &a, suspect_event &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.worker, b.worker);
+  swap(a.born_ms, b.born_ms);
+  swap(a.age_us, b.age_us);
+  swap(a.__isset, b.__isset);
+}
+
+suspect_event::suspect_event(const suspect_event& other98) {
+  fingerprint = other98.fingerprint;
+  worker = other98.worker;
+  born_ms = other98.born_ms;
+  age_us = other98.age_us;
+  __isset = other98.__isset;
+}
+suspect_event& suspect_event::operator=(const suspect_event& other99) {
+  fingerprint = other99.fingerprint;
+  worker = other99.worker;
+  born_ms = other99.born_ms;
+  age_us = other99.age_us;
+  __isset = other99.__isset;
+  return *this;
+}
+void suspect_event::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "suspect_event(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "worker=" << to_string(worker);
+  out << ", " << "born_ms=" << to_string(born_ms);
+  out << ", " << "age_us=" << to_string(age_us);
   out << ")";
 }
 
@@ -4020,6 +4194,11 @@
 void peer_frame::__set_covered_buckets(const int64_t val) {
   this->covered_buckets = val;
 }
+
+void peer_frame::__set_suspects(const std::vector<suspect_event> & val) {
+  this->suspects = val;
+__isset.suspects = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_frame& obj)
 {
   obj.printTo(out);
@@ -4092,14 +4271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->records.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->records.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->records[_i102].read(iprot);
+              xfer += this->records[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4144,14 +4323,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->buckets.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->buckets.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += iprot->readI64(this->buckets[_i107]);
+              xfer += iprot->readI64(this->buckets[_i109]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4168,6 +4347,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->suspects.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->suspects[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4211,10 +4410,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<home_record> ::const_iterator _iter108;
-      for (_iter108 = this->records.begin(); _iter108 != this->records.end(); ++_iter108)
+      std::vector<home_record> ::const_iterator _iter115;
+      for (_iter115 = this->records.begin(); _iter115 != this->records.end(); ++_iter115)
       {
-        xfer += (*_iter108).write(oprot);
+        xfer += (*_iter115).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4241,10 +4440,10 @@
     xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-      std::vector<int64_t> ::const_iterator _iter109;
-      for (_iter109 = this->buckets.begin(); _iter109 != this->buckets.end(); ++_iter109)
+      std::vector<int64_t> ::const_iterator _iter116;
+      for (_iter116 = this->buckets.begin(); _iter116 != this->buckets.end(); ++_iter116)
       {
-        xfer += oprot->writeI64((*_iter109));
+        xfer += oprot->writeI64((*_iter116));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4254,6 +4453,19 @@
   xfer += oprot->writeI64(this->covered_buckets);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+      std::vector<suspect_event> ::const_iterator _iter117;
+      for (_iter117 = this->suspects.begin(); _iter117 != this->suspects.end(); ++_iter117)
+      {
+        xfer += (*_iter117).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4273,38 +4485,41 @@
   swap(a.store_era, b.store_era);
   swap(a.buckets, b.buckets);
   swap(a.covered_buckets, b.covered_buckets);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-peer_frame::peer_frame(const peer_frame& other110) {
-  kind = other110.kind;
-  call = other110.call;
-  config = other110.config;
-  request = other110.request;
-  answer = other110.answer;
-  records = other110.records;
-  evidence = other110.evidence;
-  digest = other110.digest;
-  store_current = other110.store_current;
-  store_era = other110.store_era;
-  buckets = other110.buckets;
-  covered_buckets = other110.covered_buckets;
-  __isset = other110.__isset;
-}
-peer_frame& peer_frame::operator=(const peer_frame& other111) {
-  kind = other111.kind;
-  call = other111.call;
-  config = other111.config;
-  request = other111.request;
-  answer = other111.answer;
-  records = other111.records;
-  evidence = other111.evidence;
-  digest = other111.digest;
-  store_current = other111.store_current;
-  store_era = other111.store_era;
-  buckets = other111.buckets;
-  covered_buckets = other111.covered_buckets;
-  __isset = other111.__isset;
+peer_frame::peer_frame(const peer_frame& other118) {
+  kind = other118.kind;
+  call = other118.call;
+  config = other118.config;
+  request = other118.request;
+  answer = other118.answer;
+  records = other118.records;
+  evidence = other118.evidence;
+  digest = other118.digest;
+  store_current = other118.store_current;
+  store_era = other118.store_era;
+  buckets = other118.buckets;
+  covered_buckets = other118.covered_buckets;
+  suspects = other118.suspects;
+  __isset = other118.__isset;
+}
+peer_frame& peer_frame::operator=(const peer_frame& other119) {
+  kind = other119.kind;
+  call = other119.call;
+  config = other119.config;
+  request = other119.request;
+  answer = other119.answer;
+  records = other119.records;
+  evidence = other119.evidence;
+  digest = other119.digest;
+  store_current = other119.store_current;
+  store_era = other119.store_era;
+  buckets = other119.buckets;
+  covered_buckets = other119.covered_buckets;
+  suspects = other119.suspects;
+  __isset = other119.__isset;
   return *this;
 }
 void peer_frame::printTo(std::ostream& out) const {
@@ -4322,6 +4537,7 @@
   out << ", " << "store_era=" << to_string(store_era);
   out << ", " << "buckets="; (__isset.buckets ? (out << to_string(buckets)) : (out << "<null>"));
   out << ", " << "covered_buckets=" << to_string(covered_buckets);
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -57,6 +57,8 @@
 
 class call_answer;
 
+class suspect_event;
+
 class peer_frame;
 
 typedef struct _address__isset {
@@ -1478,7 +1480,7 @@
 std::ostream& operator<<(std::ostream& out, const call_request& obj);
 
 typedef struct _call_answer__isset {
-  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false), ran_us(false) {}
+  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false), ran_us(false), ended_born_ms(false) {}
   bool outcome :1;
   bool status :1;
   bool fields :1;
@@ -1486,6 +1488,7 @@
   bool wait_us :1;
   bool reason :1;
   bool ran_us :1;
+  bool ended_born_ms :1;
 } _call_answer__isset;
 
 class call_answer : public virtual ::apache::thrift::TBase {
@@ -1498,7 +1501,8 @@
                 status(0),
                 wait_us(0),
                 reason(),
-                ran_us(0) {
+                ran_us(0),
+                ended_born_ms(0) {
   }
 
   virtual ~call_answer() noexcept;
@@ -1509,6 +1513,7 @@
   int64_t wait_us;
   std::string reason;
   int64_t ran_us;
+  int64_t ended_born_ms;
 
   _call_answer__isset __isset;
 
@@ -1526,6 +1531,8 @@
 
   void __set_ran_us(const int64_t val);
 
+  void __set_ended_born_ms(const int64_t val);
+
   bool operator == (const call_answer & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -1542,6 +1549,10 @@
       return false;
     if (!(ran_us == rhs.ran_us))
       return false;
+    if (__isset.ended_born_ms != rhs.__isset.ended_born_ms)
+      return false;
+    else if (__isset.ended_born_ms && !(ended_born_ms == rhs.ended_born_ms))
+      return false;
     return true;
   }
   bool operator != (const call_answer &rhs) const {
@@ -1560,8 +1571,72 @@
 
 std::ostream& operator<<(std::ostream& out, const call_answer& obj);
 
+typedef struct _suspect_event__isset {
+  _suspect_event__isset() : fingerprint(false), worker(false), born_ms(false), age_us(false) {}
+  bool fingerprint :1;
+  bool worker :1;
+  bool born_ms :1;
+  bool age_us :1;
+} _suspect_event__isset;
+
+class suspect_event : public virtual ::apache::thrift::TBase {
+ public:
+
+  suspect_event(const suspect_event&);
+  suspect_event& operator=(const suspect_event&);
+  suspect_event() noexcept
+                : fingerprint(0),
+                  worker(),
+                  born_ms(0),
+                  age_us(0) {
+  }
+
+  virtual ~suspect_event() noexcept;
+  int64_t fingerprint;
+  std::string worker;
+  int64_t born_ms;
+  int64_t age_us;
+
+  _suspect_event__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_worker(const std::string& val);
+
+  void __set_born_ms(const int64_t val);
+
+  void __set_age_us(const int64_t val);
+
+  bool operator == (const suspect_event & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(born_ms == rhs.born_ms))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    return true;
+  }
+  bool operator != (const suspect_event &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const suspect_event & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(suspect_event &a, suspect_event &b);
+
+std::ostream& operator<<(std::ostream& out, const suspect_event& obj);
+
 typedef struct _peer_frame__isset {
-  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false) {}
+  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), suspects(false) {}
   bool kind :1;
   bool call :1;
   bool config :1;
@@ -1574,6 +1649,7 @@
   bool store_era :1;
   bool buckets :1;
   bool covered_buckets :1;
+  bool suspects :1;
 } _peer_frame__isset;
 
 class peer_frame : public virtual ::apache::thrift::TBase {
@@ -1604,6 +1680,7 @@
   int64_t store_era;
   std::vector<int64_t>  buckets;
   int64_t covered_buckets;
+  std::vector<suspect_event>  suspects;
 
   _peer_frame__isset __isset;
 
@@ -1631,6 +1708,8 @@
 
   void __set_covered_buckets(const int64_t val);
 
+  void __set_suspects(const std::vector<suspect_event> & val);
+
   bool operator == (const peer_frame & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1667,6 +1746,10 @@
       return false;
     if (!(covered_buckets == rhs.covered_buckets))
       return false;
+    if (__isset.suspects != rhs.__isset.suspects)
+      return false;
+    else if (__isset.suspects && !(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const peer_frame &rhs) const {
--- a/tests/mesh/crashing_request_test.cpp
+++ b/tests/mesh/crashing_request_test.cpp
@@ -139,4 +139,60 @@
   });
 }
 
+// Guards against requests that are refused since connections are lost on their
+// way, while the servers live.
+BOOST_AUTO_TEST_CASE(a_request_whose_connections_are_reset_is_not_refused) {
+  crashing_mesh Mesh;
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.start();
+    bool Resets = true;
+    for (std::size_t Index = 0; Index < Mesh.size(); ++Index)
+      Mesh.worker(Index).Script.Answer =
+          [&Resets](tcp::socket &Socket,
+                    const request &Request) -> awaitable<void> {
+        if (Resets)
+          co_return reset(Socket);
+        co_await write(Socket, "HTTP/1.1 200 OK\r\nRequest-Id: " +
+                                   std::string(Request["Request-Id"]) +
+                                   "\r\nContent-Length: 0\r\n\r\n");
+      };
+    for (unsigned Number = 0; Number < 12; ++Number) {
+      auto Answer = co_await Mesh.call(
+          Number % Mesh.size(),
+          Mesh.get("/kassa/reset", "reset-" + std::to_string(Number)));
+      BOOST_TEST(statusOf(Answer) == 502u);
+    }
+    Resets = false;
+    for (std::size_t Index = 0; Index < Mesh.size(); ++Index) {
+      auto Answer = co_await Mesh.call(
+          Index, Mesh.get("/kassa/reset", "sound-" + std::to_string(Index)));
+      BOOST_TEST(statusOf(Answer) == 200u);
+    }
+  });
+}
+
+// A call that runs beside the crashing one may end with its servers, but not be
+// refused for that.
+BOOST_AUTO_TEST_CASE(a_call_beside_the_crashing_one_is_served_later) {
+  crashing_mesh Mesh;
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.start();
+    for (std::size_t Index = 0; Index < Mesh.size(); ++Index)
+      Mesh.worker(Index).Script.Delay = milliseconds(40);
+    for (unsigned Number = 0; Number < CrashesToRefuse; ++Number) {
+      asio::co_spawn(
+          Mesh.context(),
+          [&Mesh, Number]() -> awaitable<void> {
+            co_await Mesh.call(0, Mesh.get("/kassa/beside",
+                                           "beside-" + std::to_string(Number)));
+          },
+          asio::detached);
+      co_await Mesh.retryCrashing();
+      co_await Mesh.pause(seconds(1));
+    }
+    auto Answer = co_await Mesh.call(0, Mesh.get("/kassa/beside", "last"));
+    BOOST_TEST(statusOf(Answer) == 200u);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
