--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -314,6 +314,7 @@
       .add("started_ms", Start.StartedAtMs)
       .add("calls", Calls);
   std::vector<suspect_event> Events;
+  Events.reserve(Ran.size());
   for (call_fingerprint Fingerprint : Ran)
     Events.push_back({Fingerprint, Start, Now});
   Suspects.suspectsObserved(Events);
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -276,6 +276,7 @@
     Out.__set_evidence(chivebeam::toWire(*Frame.Evidence));
   if (!Frame.Suspects.empty()) {
     std::vector<wire::suspect_event> Events;
+    Events.reserve(Frame.Suspects.size());
     for (const suspect_event &Event : Frame.Suspects)
       Events.push_back(toWire(Event, Now));
     Out.__set_suspects(Events);
