--- a/tests/mesh/config_transfer_test.cpp
+++ b/tests/mesh/config_transfer_test.cpp
@@ -44,7 +44,8 @@
     peer_frame Frame;
     Frame.Kind = Kind;
     Frame.Config = config_number(2);
-    Frame.StoreCurrent = StoreCurrent;
+    if (StoreCurrent)
+      Frame.StoreAge = microseconds(0);
     return Frame;
   }
   /// Sends the number of the configuration that it holds.
