Repeat a refused watch soon on standby

Cause, found by review: the first retry after a refused watch fell into the pause that the client of the store keeps after 429, so it always failed, and the second one waited 1.5 to 3 s. A configuration that came meanwhile was late by as much.

On standby the pauses now begin at a quarter to half a second and double up to 1.5 to 3 s. subscription, a_refused_watch_on_standby_is_repeated_soon: failed before (a change 0.7 s old was not read), passes now.

--- a/src/chivebeam/mesh/store_subscription.cpp
+++ b/src/chivebeam/mesh/store_subscription.cpp
@@ -24,8 +24,9 @@
 /// Upper limit of the batch delay while changes are urgent.
 constexpr milliseconds MaxUrgentBatchDelay{200};
 constexpr milliseconds WantedCheckInterval{50};
-/// Pause after a failure on standby; as much again is added at random.
-constexpr microseconds StandbyRetryInterval = milliseconds(1'500);
+/// On standby many nodes may retry together.
+constexpr microseconds MinStandbyBackoff = milliseconds(500);
+constexpr microseconds MaxStandbyBackoff = milliseconds(3'000);
 
 } // namespace
 
@@ -162,12 +163,10 @@
 }
 
 awaitable<void> store_subscription::backOff() {
-  bool IsFirst = Backoff.count() == 0;
-  Backoff = std::clamp(Backoff * 2, MinBackoff, MaxBackoff);
-  microseconds Pause = Backoff / 2 + jitter(Backoff / 2);
-  if (!IsFirst && mode() == subscription_mode::standby)
-    Pause = StandbyRetryInterval + jitter(StandbyRetryInterval);
-  co_await sleepFor(Pause);
+  bool OnStandby = mode() == subscription_mode::standby;
+  Backoff = std::clamp(Backoff * 2, OnStandby ? MinStandbyBackoff : MinBackoff,
+                       OnStandby ? MaxStandbyBackoff : MaxBackoff);
+  co_await sleepFor(Backoff / 2 + jitter(Backoff / 2));
 }
 
 awaitable<void> store_subscription::waitUntilWanted() {
--- a/tests/mesh/store_subscription_test.cpp
+++ b/tests/mesh/store_subscription_test.cpp
@@ -140,4 +140,33 @@
   Context.run_for(seconds(60));
 }
 
+// Guards against a node on standby that waits for seconds after the store
+// refused one of its watches.
+BOOST_AUTO_TEST_CASE(a_refused_watch_on_standby_is_repeated_soon) {
+  asio::io_context Context(1);
+  stand_ins::platform_store Server(Context);
+  platform::kv_store Client(Server.listen());
+  counting_listener Listener;
+  store_subscription Subscription(Client, "k/", Listener, {.Mode = [] {
+                                    return subscription_mode::standby;
+                                  }});
+  auto Test = [&]() -> awaitable<void> {
+    co_await sleepFor(milliseconds(200));
+    Server.Switches.TooManyRequests = true;
+    unsigned CallsBefore = Server.Calls;
+    Server.put("k/1", "first"); // ends the watch
+    for (int Step = 0; Step < 1'000 && Server.Calls == CallsBefore; ++Step)
+      co_await sleepFor(milliseconds(1));
+    Server.Switches.TooManyRequests = false;
+    Server.put("k/1", "second");
+    for (int Step = 0; Step < 140 && Listener.Newest != "second"; ++Step)
+      co_await sleepFor(milliseconds(5));
+    BOOST_TEST(Listener.Newest == "second");
+    Context.stop();
+  };
+  asio::co_spawn(Context, Subscription.run(), asio::detached);
+  asio::co_spawn(Context, Test(), asio::detached);
+  Context.run_for(seconds(60));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
