--- a/src/chivebeam/mesh/store_subscription.h
+++ b/src/chivebeam/mesh/store_subscription.h
@@ -19,10 +19,11 @@
 /// How a node uses a subscription.
 enum class subscription_mode {
   off,
-  /// Like primary, but it costs the store less, since many nodes may be in this
-  /// mode together: the first listing may be stale, which the watch makes up
-  /// for, and retries are rare.
+  /// The node reads for itself while no watcher does. Many nodes may be in this
+  /// mode together, so it costs the store less than primary: the first listing
+  /// may be stale, which the watch makes up for, and retries are rarer.
   standby,
+  /// The node is a watcher, which reads for others as well.
   primary,
 };
 
@@ -52,7 +53,8 @@
 /// the link. Runs on one io_context; not thread safe.
 class store_subscription {
 public:
-  /// A subscription whose last answer is older is not current.
+  /// A subscription whose last answer is older is not current. Longer than the
+  /// pause between listings in a burst and the listing itself.
   static constexpr milliseconds MaxAnswerAge{1'800};
 
   /// \pre Store and Listener outlive the subscription; no other watch uses
