--- a/src/chivebeam/store/config_store.h
+++ b/src/chivebeam/store/config_store.h
@@ -94,8 +94,8 @@
   virtual awaitable<result<bool>> keepLease(lease_id Lease) = 0;
   virtual awaitable<result<void>> revokeLease(lease_id Lease) = 0;
   /// Reports changes under Prefix from a revision on, and each answer without
-  /// changes. Returns when the connection is lost, or with kind not_found if the
-  /// revision was compacted.
+  /// changes. Returns when the connection is lost, or with kind not_found if
+  /// the revision was compacted.
   virtual awaitable<error> watch(std::string Prefix, store_revision From,
                                  watch_handler Handler) = 0;
   /// Ends a running watch.
