Move the connections to the backend server out of the home runner

Keeping connections and noting whether the server can be reached is now worker_connection_pool. No change of behaviour; the mesh tests pass.

--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -7,21 +7,9 @@
 
 namespace {
 
-/// The backend server is on the same machine, so one that takes longer does not
-/// accept connections.
-constexpr milliseconds ConnectTimeout{300};
-/// For this time after a failed connection, calls are refused at once.
-constexpr milliseconds UnreachableBackoff{250};
 /// The backend server ends a call by itself at the deadline. This is the
 /// additional time for its final answer to arrive.
 constexpr milliseconds FinalAnswerGrace{60};
-/// Longest idle time of a reused connection. The server may close an older one
-/// just as a call is sent. A call that is not idempotent can't be sent again
-/// then, so its limit is lower.
-constexpr milliseconds MaxIdle{4'000};
-constexpr milliseconds MaxIdleNonIdempotent{1'000};
-/// Subtracted from the keep-alive time that the backend server announces.
-constexpr milliseconds KeepAliveMargin{1'000};
 /// Shortest retry time in the answer to a refused call.
 constexpr milliseconds MinRetryAfter{30};
 
@@ -32,20 +20,20 @@
                          suspect_listener &SuspectListener,
                          double LinkBytesPerSecond)
     : Context(IoContext), Protocol(CallProtocol), Suspects(SuspectListener),
-      Bodies(LinkBytesPerSecond) {}
+      Bodies(LinkBytesPerSecond),
+      Connections([this](const worker_start &Start) {
+        serverEnded(Start, currentTime());
+      }) {}
 
 void home_runner::updateWorker(const worker_report &Report) {
   bool IsNewProcess = !Worker || Worker->Start != Report.Start;
-  if (IsNewProcess || Worker->At != Report.At)
-    Idle.clear();
+  Connections.setServer(Report.Start, Report.At);
   if (IsNewProcess && Worker)
     serverEnded(Worker->Start, currentTime());
   if (IsNewProcess) {
     Queue.resetServiceTimes();
     Failures.reset();
     Evidence.clear();
-    ServerGone = false;
-    UnreachableUntil = instant();
   }
   Worker = Report;
   bool AcceptsCalls = Report.Worker.State == worker_state::ready && !Stopping;
@@ -132,7 +120,7 @@
   if (!isForCurrentWorker(Call))
     Decide(refusal(MinRetryAfter,
                    "the expected backend server is not beside this node"));
-  else if (Now < UnreachableUntil)
+  else if (Connections.isUnreachable(Now))
     Decide(refusal(MinRetryAfter, "the backend server can't be reached"));
   else if (!Queue.wouldAccept(Slot, Now))
     Decide(
@@ -182,7 +170,7 @@
   Load.Downstream = Downstream;
   Load.DownstreamRetryBudgetPermille = DownstreamRetryBudgetPermille;
   Load.FailedPermille = static_cast<unsigned>(Failures.value(Now) * 1'000);
-  if (Now < UnreachableUntil)
+  if (Connections.isUnreachable(Now))
     Load.Limit = 0;
   return Load;
 }
@@ -193,7 +181,7 @@
   if (!isForCurrentWorker(Call))
     co_return refuse(*Job,
                      "the expected backend server is not beside this node");
-  if (Now < UnreachableUntil)
+  if (Connections.isUnreachable(Now))
     co_return refuse(*Job, "the backend server can't be reached");
   Queue.recordRefusedAtEntry(Call.Urgency, Call.RefusedAtEntry, Now);
   slot_decision Answer = Queue.arrive(Job->Slot, Now);
@@ -230,63 +218,15 @@
   co_return Runs;
 }
 
-std::shared_ptr<worker_connection>
-home_runner::takeIdle(microseconds MaxIdleTime) {
-  instant Now = currentTime();
-  while (!Idle.empty()) {
-    std::shared_ptr<worker_connection> Last = std::move(Idle.back());
-    Idle.pop_back();
-    microseconds IdleLimit = MaxIdleTime;
-    if (Last->KeepAlive.count() > 0)
-      IdleLimit =
-          std::min<microseconds>(IdleLimit, Last->KeepAlive - KeepAliveMargin);
-    if (Now - Last->IdleSince < IdleLimit && Last->isIdle())
-      return Last;
-    Last->close();
-  }
-  return nullptr;
-}
-
-void home_runner::returnToPool(std::shared_ptr<worker_connection> Connection) {
-  if (Connection->reusable() && Worker)
-    Idle.push_back(std::move(Connection));
-}
-
-awaitable<std::shared_ptr<worker_connection>>
-home_runner::acquireConnection(bool Idempotent) {
-  if (auto Kept = takeIdle(Idempotent ? MaxIdle : MaxIdleNonIdempotent))
-    co_return Kept;
-  co_return co_await openConnection();
-}
-
-awaitable<std::shared_ptr<worker_connection>> home_runner::openConnection() {
-  ++ConnectionsOpened;
-  address At = Worker->At;
-  worker_start Start = Worker->Start;
-  worker_connect_result Opened = co_await connectToWorker(At, ConnectTimeout);
-  if (Worker->Start != Start)
-    co_return Opened.Connection;
-  ServerGone = Opened.Refused;
-  if (Opened.Connection)
-    co_return Opened.Connection;
-  UnreachableUntil = currentTime() + UnreachableBackoff;
-  log_event("worker_unreachable")
-      .add("worker", Start.Worker)
-      .add("address", At.text());
-  if (Opened.Refused)
-    serverEnded(Start, currentTime());
-  co_return nullptr;
-}
-
 awaitable<void> home_runner::checkBroken(const mesh_call &Call,
                                          worker_start Start) {
   Broken.add(Call.Fingerprint, Start, currentTime());
   // Another call's check may have found the server gone, or it has been
   // replaced.
-  if (ServerGone || !Worker || Worker->Start != Start)
+  if (Connections.isServerGone(Start))
     co_return serverEnded(Start, currentTime());
-  if (auto Connection = co_await openConnection())
-    returnToPool(std::move(Connection));
+  if (auto Connection = co_await Connections.open())
+    Connections.giveBack(std::move(Connection));
 }
 
 awaitable<void> home_runner::recordEnd(const mesh_call &Call,
@@ -298,7 +238,7 @@
   if (!IsBroken)
     co_return;
   co_await checkBroken(Call, Start);
-  if (ServerGone || !Worker || Worker->Start != Start)
+  if (Connections.isServerGone(Start))
     Answer.EndedServer = Start;
 }
 
@@ -323,19 +263,19 @@
 awaitable<void> home_runner::runOnWorker(job_ptr Job) {
   const mesh_call &Call = Job->Call;
   std::shared_ptr<worker_connection> Connection =
-      co_await acquireConnection(Call.Idempotent);
+      co_await Connections.acquire(Call.Idempotent);
   instant Now = currentTime();
   // The backend server may have been replaced while the call waited.
   bool Sendable = Connection && isForCurrentWorker(Call) &&
                   !Job->Cancel.raised() && Now < Call.Deadline;
   if (!Sendable) {
     if (Connection)
-      returnToPool(std::move(Connection));
+      Connections.giveBack(std::move(Connection));
     apply(Queue.releaseUnused(Now));
     co_return refuse(*Job, "the call could not be sent to the backend server");
   }
   if (Suspects.suspects().refusedFor(Call.Fingerprint, Now).count() > 0) {
-    returnToPool(std::move(Connection));
+    Connections.giveBack(std::move(Connection));
     apply(Queue.releaseUnused(Now));
     // Without a retry time, since this node has capacity for other calls.
     co_return finish(*Job, emptyAnswer(attempt_outcome::not_sent,
@@ -356,7 +296,7 @@
   instant Ended = currentTime();
   RunningRetries.erase(Call.Id);
   co_await recordEnd(Call, Start, Connection->brokeWithoutAnswer(), Answer);
-  returnToPool(std::move(Connection));
+  Connections.giveBack(std::move(Connection));
   Answer.RunTime = Ended - Now;
   recordResult(*Job, Answer, Ended);
   finish(*Job, std::move(Answer));
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -7,7 +7,7 @@
 #include "membership/worker_report_filter.h"
 #include "mesh/cancel_signal.h"
 #include "mesh/one_shot.h"
-#include "mesh/worker_connection.h"
+#include "mesh/worker_connection_pool.h"
 #include "moves/evidence.h"
 #include "routing/body_admission.h"
 #include "routing/broken_calls.h"
@@ -64,7 +64,7 @@
   /// Returns the calls and failures counted for the current process of the
   /// backend server.
   const evidence_by_route &evidence() const { return Evidence; }
-  std::uint64_t connectionsOpened() const { return ConnectionsOpened; }
+  std::uint64_t connectionsOpened() const { return Connections.opened(); }
 
 private:
   /// A call with its slot request and its reply.
@@ -79,10 +79,6 @@
   awaitable<void> serve(job_ptr Job);
   awaitable<bool> waitForSlot(job_ptr Job);
   awaitable<void> runOnWorker(job_ptr Job);
-  awaitable<std::shared_ptr<worker_connection>>
-  acquireConnection(bool Idempotent);
-  /// Opens a connection; returns null if the backend server can't be reached.
-  awaitable<std::shared_ptr<worker_connection>> openConnection();
   /// Connects to the backend server after a call's connection broke, which
   /// shows whether the server is gone.
   awaitable<void> checkBroken(const mesh_call &Call, worker_start Start);
@@ -91,8 +87,6 @@
                             bool IsBroken, mesh_answer &Answer);
   /// Called when this start of the backend server is known to be gone.
   void serverEnded(const worker_start &Start, instant Now);
-  std::shared_ptr<worker_connection> takeIdle(microseconds MaxIdle);
-  void returnToPool(std::shared_ptr<worker_connection> Connection);
   bool isForCurrentWorker(const mesh_call &Call) const;
   void finish(const job &Job, mesh_answer Answer);
   void refuse(const job &Job, std::string Reason);
@@ -114,19 +108,15 @@
   body_admission Bodies;
   std::unordered_map<std::uint64_t, body_decision> UndecidedOffers;
   std::unordered_map<std::uint64_t, one_shot<bool>> SlotWaiters;
-  /// The most recently used is last.
-  std::vector<std::shared_ptr<worker_connection>> Idle;
+  worker_connection_pool Connections;
   broken_calls Broken;
-  bool ServerGone = false; ///< nothing accepts connections at its address
   decaying_ratio Failures{FailureHalfLife};
   evidence_by_route Evidence;
   refusal_ratios Downstream;
   unsigned DownstreamRetryBudgetPermille = 0;
   /// Running calls that were sent before.
   std::unordered_set<request_id> RunningRetries;
-  instant UnreachableUntil;
   std::uint64_t NextNumber = 0;
-  std::uint64_t ConnectionsOpened = 0;
   std::size_t Active = 0;
 };
 
