Read the rate limit and the leaving notice in answers, and log them

No log line or metric held the limit that a backend server names, nor the calls that it gets, so the hypotheses of the rate limit incident could not be told apart. platform/ now reads both header fields in one place; the home node logs limits as they change and, while there is one, the calls sent in 4 s each second; gauges show the same. Nothing acts on a notice yet.

--- a/src/chivebeam/mesh/call_protocol.h
+++ b/src/chivebeam/mesh/call_protocol.h
@@ -49,6 +49,8 @@
   /// Returns the outcome of an attempt that the backend server answered.
   virtual attempt_outcome outcomeOf(unsigned Status,
                                     const header_list &Fields) const = 0;
+  /// Returns what the backend server says about itself in an answer.
+  virtual server_notice noticeIn(const header_list &Fields) const = 0;
   virtual unsigned statusOf(own_answer Answer) const = 0;
   /// Returns the header fields of an answer that the node generates. RetryAfter
   /// is the time after which the caller may retry a call that was not run.
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -31,6 +31,7 @@
   if (IsNewProcess && Worker)
     serverEnded(Worker->Start, currentTime());
   if (IsNewProcess) {
+    Notices.serverStarted(Report.Start);
     Queue.resetServiceTimes();
     Failures.reset();
     Evidence.clear();
@@ -52,6 +53,7 @@
 void home_runner::tick(instant Now) {
   apply(Queue.refuseUnservable(Now));
   apply(Bodies.refuseUnservable(Now));
+  Notices.tick(Now);
 }
 
 void home_runner::apply(const slot_update &Change) {
@@ -291,10 +293,13 @@
   if (Call.IsRetry)
     RunningRetries.insert(Call.Id);
   worker_start Start = Worker->Start;
+  Notices.callSent(Call.IsRetry, Now);
   mesh_answer Answer = co_await Connection->exchange(
       Call, Fields, Protocol, Call.Deadline + FinalAnswerGrace, Cancel);
   instant Ended = currentTime();
   RunningRetries.erase(Call.Id);
+  if (Answer.Status > 0)
+    Notices.answered(Start, Answer.Notice, Ended);
   co_await recordEnd(Call, Start, Connection->brokeWithoutAnswer(), Answer);
   Connections.giveBack(std::move(Connection));
   Answer.RunTime = Ended - Now;
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -7,6 +7,7 @@
 #include "membership/worker_report_filter.h"
 #include "mesh/cancel_signal.h"
 #include "mesh/one_shot.h"
+#include "mesh/server_notices.h"
 #include "mesh/worker_connection_pool.h"
 #include "moves/evidence.h"
 #include "routing/body_admission.h"
@@ -64,6 +65,7 @@
   /// Returns the calls and failures counted for the current process of the
   /// backend server.
   const evidence_by_route &evidence() const { return Evidence; }
+  const server_notices &notices() const { return Notices; }
   std::uint64_t connectionsOpened() const { return Connections.opened(); }
 
 private:
@@ -105,6 +107,7 @@
   std::optional<worker_report> Worker;
   bool Stopping = false;
   slot_queue Queue;
+  server_notices Notices;
   body_admission Bodies;
   std::unordered_map<std::uint64_t, body_decision> UndecidedOffers;
   std::unordered_map<std::uint64_t, one_shot<bool>> SlotWaiters;
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -9,6 +9,7 @@
 #include "routing/call_fingerprint.h"
 #include "routing/home_load.h"
 #include "routing/retry_policy.h"
+#include "routing/server_notice.h"
 
 namespace chivebeam {
 
@@ -52,6 +53,9 @@
   unsigned Status = 0;
   header_list Fields;
   shared_body Body;
+  /// Of the backend server. In an answer from another node it is read from the
+  /// fields.
+  server_notice Notice;
   home_load Load;
   /// Run time of the call at the backend server; zero if it was not run.
   microseconds RunTime{0};
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -474,6 +474,7 @@
               static_cast<double>(State.configNumber().value()));
   Metrics.set("worker_connections_opened",
               static_cast<double>(Home.connectionsOpened()));
+  Home.notices().updateMetrics(Metrics, Now);
   Metrics.set("log_lines_dropped",
               static_cast<double>(log_writer::instance().dropped()));
   return Metrics.text();
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -123,6 +123,7 @@
     Answer.Body =
         std::make_shared<const std::string>(std::move(Response.body()));
     Answer.Outcome = Protocol.outcomeOf(Answer.Status, Answer.Fields);
+    Answer.Notice = Protocol.noticeIn(Answer.Fields);
     co_return Answer;
   }
   co_return emptyAnswer(
