Send a server no more calls than the rate limit it names

Callers saw nothing: the servers answered. But a server that named a limit got as many calls as before (269 to 310 in 4 s with a limit of 22.2 a second), since nothing read the limit.

All calls to a server pass the queue of its home node, also retries, nested calls and those of a move; no health checks are sent. So the queue is the one gate: a call starts only if a slot is free and the limit allows it. What can't start by its deadline is refused at once, also when a more urgent call pushes it back. Answers between nodes carry the interval and the wait, so that entry nodes count the wait as latency and prefer servers with room. The newest answer counts; one without a limit ends it if its call was sent after the limit was named. A process that replaces an earlier one beside a running server goes by the limit in the calls of entry nodes until its first answer.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -236,6 +236,13 @@
                              Now}});
 }
 
+void entry_router::recordNotice(const endpoint &Endpoint,
+                                const mesh_answer &Answer, instant Now) {
+  if (Answer.Status > 0)
+    Notices.answered({Endpoint.Worker, Endpoint.StartedAtMs},
+                     Protocol.noticeIn(Answer.Fields), Now);
+}
+
 bool entry_router::retryIsUseful(const entry_call &Entry,
                                  attempt_outcome Outcome, instant Now) const {
   const mesh_call &Call = Entry.Call;
@@ -399,6 +406,7 @@
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
     recordServerEnd(Entry, Endpoint, Answer, Now);
+    recordNotice(Endpoint, Answer, Now);
     recordAttempt(Entry, Answer, Now);
     next_step Step = decideNext(Answer.Outcome, Entry.History, [&] {
       return mayRetry(Entry, Answer.Outcome, Now);
@@ -443,6 +451,7 @@
   }
   if (!Answer || !isServerAnswer(*Answer))
     co_return std::nullopt;
+  recordNotice(Silent->AnsweredBy, *Answer, currentTime());
   log(Entry, Silent->AnsweredBy, *Answer, next_step::deliver,
       currentTime() - Started);
   co_return finish(Entry, next_step::deliver, std::move(*Answer));
@@ -491,6 +500,8 @@
   mesh_call Call = Entry.Call;
   Call.Worker = Endpoint.Worker;
   Call.UsualDuration = usualTime(Entry, Endpoint, Now);
+  Call.KnownRateLimit =
+      Notices.rateLimit({Endpoint.Worker, Endpoint.StartedAtMs});
   if (!Call.Nested)
     Call.RefusedAtEntry =
         std::exchange(RefusedAtEntry[{Call.Service, Call.Urgency}], 0);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -7,6 +7,7 @@
 #include "mesh/peer_hub.h"
 #include "routing/called_services.h"
 #include "routing/expected_latency_picker.h"
+#include "routing/passed_notices.h"
 #include "routing/version_splitter.h"
 #include "routing/weighted_splitter.h"
 #include "routing/windowed_retry_budget.h"
@@ -145,6 +146,9 @@
   /// Notes that the backend server ended while it ran the call.
   void recordServerEnd(const entry_call &Entry, const endpoint &Endpoint,
                        const mesh_answer &Answer, instant Now);
+  /// Notes what the backend server says about itself in an answer.
+  void recordNotice(const endpoint &Endpoint, const mesh_answer &Answer,
+                    instant Now);
   /// True if the call is nested or admitted as a call of an outside caller.
   bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
@@ -181,6 +185,7 @@
   expected_latency_picker Picker;
   windowed_retry_budget RetryBudget;
   root_admission Roots;
+  passed_notices Notices;
   called_services CalledServices;
   /// Calls that this node refused without asking a home node, by service and
   /// urgency, since it last sent such a call.
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -20,7 +20,7 @@
                          suspect_listener &SuspectListener,
                          double LinkBytesPerSecond)
     : Context(IoContext), Protocol(CallProtocol), Suspects(SuspectListener),
-      Bodies(LinkBytesPerSecond),
+      StartTimer(IoContext), Bodies(LinkBytesPerSecond),
       Connections([this](const worker_start &Start) {
         serverEnded(Start, currentTime());
       }) {}
@@ -37,13 +37,16 @@
     Evidence.clear();
   }
   Worker = Report;
+  instant Now = currentTime();
+  if (IsNewProcess)
+    apply(Queue.setRateLimit(std::nullopt, Now));
   bool AcceptsCalls = Report.Worker.State == worker_state::ready && !Stopping;
-  apply(Queue.setSlots(AcceptsCalls ? Report.Worker.Slots : 0));
+  apply(Queue.setSlots(AcceptsCalls ? Report.Worker.Slots : 0, Now));
 }
 
 void home_runner::stop() {
   Stopping = true;
-  apply(Queue.setSlots(0));
+  apply(Queue.setSlots(0, currentTime()));
   for (auto &[Number, Decide] : std::exchange(UndecidedOffers, {})) {
     Bodies.transferEnded(call_number(Number), currentTime());
     Decide(refusal(MinRetryAfter, "this node is stopping"));
@@ -65,6 +68,31 @@
   };
   Notify(Change.Started, true);
   Notify(Change.Refused, false);
+  scheduleStart();
+}
+
+void home_runner::scheduleStart() {
+  std::optional<microseconds> Wait = Queue.timeUntilStart(currentTime());
+  if (!Wait)
+    return;
+  StartTimer.expires_after(*Wait);
+  StartTimer.async_wait([this](error_code Code) {
+    if (!Code)
+      apply(Queue.startDue(currentTime()));
+  });
+}
+
+void home_runner::applyNotice(const worker_start &Start,
+                              const server_notice &Notice, instant SentAt,
+                              instant Now) {
+  if (Notices.answered(Start, Notice, SentAt, Now))
+    apply(Queue.setRateLimit(Notices.rateLimit(), Now));
+}
+
+void home_runner::applyKnownLimit(const mesh_call &Call, instant Now) {
+  if (Call.KnownRateLimit &&
+      Notices.limitSeenElsewhere(*Call.KnownRateLimit, Now))
+    apply(Queue.setRateLimit(Notices.rateLimit(), Now));
 }
 
 bool home_runner::isForCurrentWorker(const mesh_call &Call) const {
@@ -186,6 +214,7 @@
   if (Connections.isUnreachable(Now))
     co_return refuse(*Job, "the backend server can't be reached");
   Queue.recordRefusedAtEntry(Call.Urgency, Call.RefusedAtEntry, Now);
+  applyKnownLimit(Call, Now);
   slot_decision Answer = Queue.arrive(Job->Slot, Now);
   if (Answer == slot_decision::refuse)
     co_return refuse(*Job, "no slot would be free in time");
@@ -208,6 +237,7 @@
     SlotGranted.set(false);
   };
   Job->Cancel.onRaise(Abandon);
+  scheduleStart();
   if (Job->Cancel.raised())
     Abandon();
   std::optional<bool> Started =
@@ -299,7 +329,7 @@
   instant Ended = currentTime();
   RunningRetries.erase(Call.Id);
   if (Answer.Status > 0)
-    Notices.answered(Start, Answer.Notice, Ended);
+    applyNotice(Start, Answer.Notice, Now, Ended);
   co_await recordEnd(Call, Start, Connection->brokeWithoutAnswer(), Answer);
   Connections.giveBack(std::move(Connection));
   Answer.RunTime = Ended - Now;
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -97,6 +97,15 @@
   mesh_answer refusal(microseconds RetryAfter, std::string Reason) const;
   void recordResult(const job &Job, const mesh_answer &Answer, instant Now);
   void apply(const slot_update &Change);
+  /// Wakes up when the rate limit lets the next waiting call start.
+  void scheduleStart();
+  /// Applies the rate limit that the entry node of a call knows. A process that
+  /// replaces an earlier one beside a running server has seen no answer yet.
+  void applyKnownLimit(const mesh_call &Call, instant Now);
+  /// Applies what the backend server says about itself in an answer to a call
+  /// that was sent at SentAt.
+  void applyNotice(const worker_start &Start, const server_notice &Notice,
+                   instant SentAt, instant Now);
   void apply(const transfer_update &Change);
 
   static constexpr microseconds FailureHalfLife{2'000'000};
@@ -108,6 +117,7 @@
   bool Stopping = false;
   slot_queue Queue;
   server_notices Notices;
+  asio::steady_timer StartTimer;
   body_admission Bodies;
   std::unordered_map<std::uint64_t, body_decision> UndecidedOffers;
   std::unordered_map<std::uint64_t, one_shot<bool>> SlotWaiters;
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -42,6 +42,9 @@
   /// Size of a body that is sent only after the home node has asked for it;
   /// zero if Body is complete.
   std::uint64_t OfferedBytes = 0;
+  /// Rate limit in the last answer of the backend server that the entry node
+  /// passed on.
+  std::optional<call_rate> KnownRateLimit;
   /// Of the complete call; zero if the entry node sends none.
   call_fingerprint Fingerprint;
 };
--- a/src/chivebeam/mesh/server_notices.cpp
+++ b/src/chivebeam/mesh/server_notices.cpp
@@ -17,14 +17,15 @@
 
 void server_notices::serverStarted(const worker_start &Start) {
   Server = Start;
-  RateLimit.reset();
+  Limit.reset();
   IsLeaving = false;
 }
 
-void server_notices::answered(const worker_start &Start,
-                              const server_notice &Notice, instant Now) {
+bool server_notices::answered(const worker_start &Start,
+                              const server_notice &Notice, instant SentAt,
+                              instant Now) {
   if (Start != Server)
-    return;
+    return false;
   if (Notice.IsLeaving && !std::exchange(IsLeaving, true))
     log_event("server_leaving_answer").add("worker", Server.Worker);
   if (Notice.IsRateLimitInvalid) {
@@ -32,12 +33,19 @@
       log_event("server_limit_invalid")
           .add("worker", Server.Worker)
           .add("remedy", "let the server name one number, zero or more");
-    return;
+    return false;
   }
-  if (Notice.RateLimit == RateLimit)
-    return;
-  RateLimit = Notice.RateLimit;
-  logLimit(Now);
+  bool Changed = Limit.answered(Notice, SentAt, Now);
+  if (Changed)
+    logLimit(Now);
+  return Changed;
+}
+
+bool server_notices::limitSeenElsewhere(call_rate Rate, instant Now) {
+  bool Changed = Limit.seenElsewhere(Rate);
+  if (Changed)
+    logLimit(Now);
+  return Changed;
 }
 
 void server_notices::logLimit(instant Now) {
@@ -46,25 +54,25 @@
     return;
   }
   log_event Line("server_limit");
-  Line.add("worker", Server.Worker).add("limited", RateLimit.has_value());
-  if (RateLimit)
-    Line.add("per_s", RateLimit->PerSecond);
+  Line.add("worker", Server.Worker).add("limited", rateLimit().has_value());
+  if (rateLimit())
+    Line.add("per_s", rateLimit()->PerSecond);
   Line.add("sent_4s", Sent.inWindow(Now).All);
   if (std::uint64_t Omitted = std::exchange(OmittedLines, 0))
     Line.add("omitted_lines", Omitted);
 }
 
 void server_notices::tick(instant Now) {
-  if (!RateLimit || Now < LoggedAt + RateLogInterval)
+  if (!rateLimit() || Now < LoggedAt + RateLogInterval)
     return;
   LoggedAt = Now;
   sent_calls::counts Counts = Sent.inWindow(Now);
   log_event("server_rate")
       .add("worker", Server.Worker)
-      .add("per_s", RateLimit->PerSecond)
+      .add("per_s", rateLimit()->PerSecond)
       .add("sent_4s", Counts.All)
       .add("retries_4s", Counts.Retries)
-      .add("limit_4s", RateLimit->PerSecond * windowSeconds());
+      .add("limit_4s", rateLimit()->PerSecond * windowSeconds());
 }
 
 void server_notices::updateMetrics(mesh_metrics &Metrics, instant Now) const {
@@ -72,9 +80,9 @@
   Metrics.set("server_calls_sent", static_cast<double>(Sent.total()));
   Metrics.set("server_calls_sent_4s", Counts.All);
   Metrics.set("server_retries_sent_4s", Counts.Retries);
-  Metrics.set("server_rate_limit", RateLimit ? RateLimit->PerSecond : -1);
+  Metrics.set("server_rate_limit", rateLimit() ? rateLimit()->PerSecond : -1);
   Metrics.set("server_rate_limit_4s",
-              RateLimit ? RateLimit->PerSecond * windowSeconds() : -1);
+              rateLimit() ? rateLimit()->PerSecond * windowSeconds() : -1);
   Metrics.set("server_leaving", IsLeaving ? 1 : 0);
 }
 
--- a/src/chivebeam/mesh/server_notices.h
+++ b/src/chivebeam/mesh/server_notices.h
@@ -4,7 +4,7 @@
 #include "membership/home_record.h"
 #include "mesh/mesh_metrics.h"
 #include "routing/sent_calls.h"
-#include "routing/server_notice.h"
+#include "routing/server_limit_tracker.h"
 
 namespace chivebeam {
 
@@ -17,9 +17,14 @@
   void serverStarted(const worker_start &Start);
   /// Called when a call is sent to the backend server.
   void callSent(bool IsRetry, instant Now) { Sent.add(IsRetry, Now); }
-  /// Called with the notice in an answer of this start of the backend server.
-  void answered(const worker_start &Start, const server_notice &Notice,
-                instant Now);
+  /// Called with the notice in an answer of this start of the backend server,
+  /// to a call that was sent at SentAt. Returns whether the rate limit changed.
+  bool answered(const worker_start &Start, const server_notice &Notice,
+                instant SentAt, instant Now);
+  /// Called with the rate limit that an entry node knows. Returns whether the
+  /// rate limit changed.
+  bool limitSeenElsewhere(call_rate Rate, instant Now);
+  const std::optional<call_rate> &rateLimit() const { return Limit.limit(); }
   /// Logs the calls that a backend server with a rate limit gets. Must be
   /// called several times a second.
   void tick(instant Now);
@@ -30,7 +35,7 @@
   void logLimit(instant Now);
 
   worker_start Server;
-  std::optional<call_rate> RateLimit;
+  server_limit_tracker Limit;
   bool IsLeaving = false;
   sent_calls Sent;
   instant LoggedAt;
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -42,6 +42,11 @@
   return static_cast<unsigned>(std::max(Number, 0));
 }
 
+/// Bounds a duration that another node sent.
+microseconds toDuration(std::int64_t Micros) {
+  return std::clamp(microseconds(Micros), microseconds(0), MaxRemainingTime);
+}
+
 std::vector<wire::header_field> toWire(const header_list &Fields) {
   std::vector<wire::header_field> Out(Fields.size());
   for (std::size_t Index = 0; Index < Fields.size(); ++Index) {
@@ -85,6 +90,10 @@
   Out.downstream = toWire(Load.Downstream);
   Out.repeats_below_permille =
       static_cast<std::int32_t>(Load.DownstreamRetryBudgetPermille);
+  if (Load.StartInterval.count() > 0) {
+    Out.__set_start_interval_us(Load.StartInterval.count());
+    Out.__set_start_wait_us(Load.StartWait.count());
+  }
   return Out;
 }
 
@@ -98,6 +107,8 @@
   Load.Refused = fromWire(In.refused);
   Load.Downstream = fromWire(In.downstream);
   Load.DownstreamRetryBudgetPermille = toCount(In.repeats_below_permille);
+  Load.StartInterval = toDuration(In.start_interval_us);
+  Load.StartWait = toDuration(In.start_wait_us);
   return Load;
 }
 
@@ -172,6 +183,8 @@
   Out.usual_us = Call.UsualDuration.count();
   Out.offered_bytes = static_cast<std::int64_t>(Call.OfferedBytes);
   Out.fingerprint = static_cast<std::int64_t>(Call.Fingerprint.value());
+  if (Call.KnownRateLimit)
+    Out.__set_rate_limit(Call.KnownRateLimit->PerSecond);
   return Out;
 }
 
@@ -197,6 +210,8 @@
       static_cast<std::uint64_t>(std::max<std::int64_t>(In.offered_bytes, 0));
   Call.Fingerprint =
       call_fingerprint(static_cast<std::uint64_t>(In.fingerprint));
+  if (In.__isset.rate_limit && In.rate_limit >= 0)
+    Call.KnownRateLimit = call_rate{In.rate_limit};
   return Call;
 }
 
--- a/src/libchivebeam/base/token_bucket.cpp
+++ b/src/libchivebeam/base/token_bucket.cpp
@@ -12,7 +12,11 @@
 } // namespace
 
 token_bucket::token_bucket(double RatePerSecond, double BurstTokens)
-    : PerSecond(RatePerSecond), Burst(BurstTokens), Tokens(BurstTokens) {}
+    : token_bucket(RatePerSecond, BurstTokens, BurstTokens) {}
+
+token_bucket::token_bucket(double RatePerSecond, double BurstTokens,
+                           double InitialTokens)
+    : PerSecond(RatePerSecond), Burst(BurstTokens), Tokens(InitialTokens) {}
 
 void token_bucket::refill(instant Now) {
   if (RefilledAt != instant() && Now > RefilledAt) {
@@ -27,6 +31,12 @@
   PerSecond = NewPerSecond;
 }
 
+void token_bucket::setRate(double NewPerSecond, double NewBurst, instant Now) {
+  setRate(NewPerSecond, Now);
+  Burst = NewBurst;
+  Tokens = std::min(Tokens, Burst);
+}
+
 bool token_bucket::take(instant Now) {
   refill(Now);
   if (Tokens < 1)
@@ -44,4 +54,13 @@
       std::ceil(-Tokens / PerSecond * MicrosPerSecond)));
 }
 
+microseconds token_bucket::timeUntil(double Count, instant Now) const {
+  token_bucket Present = *this;
+  Present.refill(Now);
+  double Missing = Count - Present.Tokens;
+  return Missing <= 0 ? microseconds(0)
+                      : microseconds(static_cast<std::int64_t>(
+                            std::ceil(Missing / PerSecond * MicrosPerSecond)));
+}
+
 } // namespace chivebeam
--- a/src/libchivebeam/routing/expected_latency_picker.cpp
+++ b/src/libchivebeam/routing/expected_latency_picker.cpp
@@ -97,7 +97,20 @@
   if (Needs.Nested)
     Queued = std::min(Queued, MaxQueuedNestedCalls);
   double Busy = std::min(1.0, Present / Limit) * BusyPenalty;
-  return Micros * (1 + Busy) + MeanMicros * Queued / Limit;
+  return Micros * (1 + Busy) +
+         std::max(MeanMicros * Queued / Limit, rateWaitMicros(Server, Now));
+}
+
+double expected_latency_picker::rateWaitMicros(const server_state &Server,
+                                               instant Now) {
+  const home_load &Load = Server.Load;
+  if (Load.StartInterval.count() == 0 ||
+      Now >= Server.ReportedAt + LoadLifetime)
+    return 0;
+  microseconds Wait = Load.StartWait +
+                      Load.StartInterval * Server.StartedSinceReport -
+                      (Now - Server.ReportedAt);
+  return std::max(0.0, static_cast<double>(Wait.count()));
 }
 
 double expected_latency_picker::costOf(double Micros, const endpoint &Endpoint,
@@ -209,7 +222,9 @@
 }
 
 void expected_latency_picker::callStarted(const endpoint &Endpoint, instant) {
-  ++stateOf(Endpoint).Open;
+  server_state &Server = stateOf(Endpoint);
+  ++Server.Open;
+  ++Server.StartedSinceReport;
 }
 
 void expected_latency_picker::callEnded(const service_name &,
@@ -221,6 +236,7 @@
   if (Observation.Load) {
     Server.Load = *Observation.Load;
     Server.OpenAtReport = Server.Open;
+    Server.StartedSinceReport = 0;
     Server.ReportedAt = Now;
   }
   if (Observation.RetryAfter.count() > 0) {
--- a/src/libchivebeam/routing/expected_latency_picker.h
+++ b/src/libchivebeam/routing/expected_latency_picker.h
@@ -76,6 +76,7 @@
     unsigned Open = 0; ///< open calls of this node
     home_load Load;
     unsigned OpenAtReport = 0;
+    unsigned StartedSinceReport = 0; ///< calls of this node
     instant ReportedAt;
     /// Duration of a call relative to the usual one of its route.
     double Slowness = 1;
@@ -96,6 +97,8 @@
   double usualMicros(const route_name &Route) const;
   double expectedMicros(const call_needs &Needs, const endpoint &Endpoint,
                         const server_state &Server, instant Now) const;
+  /// Returns how long a call waits for the rate limit of the server.
+  static double rateWaitMicros(const server_state &Server, instant Now);
   double costOf(double Micros, const endpoint &Endpoint,
                 const server_state &Server, instant Now) const;
   candidate findCheapest(const std::vector<endpoint> &Endpoints,
--- a/src/libchivebeam/routing/fleet_view.h
+++ b/src/libchivebeam/routing/fleet_view.h
@@ -20,7 +20,8 @@
   version_name Version;
   unsigned Slots = 0;
   instant ReadySince;
-  worker_id Worker; ///< empty if backend servers have no ids
+  worker_id Worker;             ///< empty if backend servers have no ids
+  std::int64_t StartedAtMs = 0; ///< by the backend server's own clock
 };
 
 /// The backend servers of one version, by location.
--- a/src/libchivebeam/routing/home_load.h
+++ b/src/libchivebeam/routing/home_load.h
@@ -20,6 +20,10 @@
   refusal_ratios Downstream;   ///< the same, at services that this one calls
   /// Used part of the retry budgets of the services that this one calls.
   unsigned DownstreamRetryBudgetPermille = 0;
+  /// Mean time between the starts of two calls by the rate limit of the backend
+  /// server; zero: it names no limit.
+  microseconds StartInterval{0};
+  microseconds StartWait{0}; ///< of a new call, by the rate limit
 
   friend bool operator==(const home_load &, const home_load &) = default;
 };
--- a/src/libchivebeam/routing/mesh_view.cpp
+++ b/src/libchivebeam/routing/mesh_view.cpp
@@ -42,7 +42,8 @@
           Home.Worker.Version,
           Home.Worker.Slots,
           Home.Worker.ReadySince,
-          Home.Start.Worker};
+          Home.Start.Worker,
+          Home.Start.StartedAtMs};
 }
 
 } // namespace
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -26,11 +26,11 @@
 
 } // namespace
 
-slot_update slot_queue::setSlots(unsigned NewSlots) {
+slot_update slot_queue::setSlots(unsigned NewSlots, instant Now) {
   slot_update Update;
   Slots = NewSlots;
   if (Slots > 0) {
-    startWaiting(Update);
+    startWaiting(Update, Now);
     return Update;
   }
   for (const slot_request &Request : Waiting)
@@ -39,6 +39,12 @@
   return Update;
 }
 
+slot_update slot_queue::setRateLimit(const std::optional<call_rate> &NewLimit,
+                                     instant Now) {
+  Rate.setLimit(NewLimit, Now);
+  return startDue(Now);
+}
+
 bool slot_queue::hasPriorityOver(const slot_request &Left,
                                  const slot_request &Right) const {
   if (Left.Nested != Right.Nested)
@@ -61,6 +67,20 @@
 
 microseconds slot_queue::expectedWait(const slot_request &Request,
                                       instant Now) const {
+  return std::max(waitForSlot(Request, Now), waitForRate(Request, Now));
+}
+
+microseconds slot_queue::waitForRate(const slot_request &Request,
+                                     instant Now) const {
+  auto Ahead = std::count_if(Waiting.begin(), Waiting.end(),
+                             [&](const slot_request &Other) {
+                               return !hasPriorityOver(Request, Other);
+                             });
+  return Rate.timeUntil(static_cast<std::size_t>(Ahead) + 1, Now);
+}
+
+microseconds slot_queue::waitForSlot(const slot_request &Request,
+                                     instant Now) const {
   if (Running < Slots && Waiting.empty())
     return microseconds(0);
   // With all slots busy, a slot becomes free once per mean duration divided by
@@ -97,14 +117,15 @@
 }
 
 bool slot_queue::wouldAccept(const slot_request &Request, instant Now) const {
-  bool Free = Running < Slots && Waiting.empty();
+  bool Free = mayStart(Now) && Waiting.empty();
   return Free ? !cannotMeetDeadline(Request, Now)
               : Slots > 0 && canAccept(Request, Now);
 }
 
 slot_decision slot_queue::arrive(const slot_request &Request, instant Now) {
-  if (Running < Slots && Waiting.empty() && !cannotMeetDeadline(Request, Now)) {
+  if (mayStart(Now) && Waiting.empty() && !cannotMeetDeadline(Request, Now)) {
     ++Running;
+    Rate.callStarted(Now);
     recordRefusal(Request, false, Now);
     return slot_decision::run;
   }
@@ -112,7 +133,12 @@
   recordRefusal(Request, !Accepted, Now);
   if (!Accepted)
     return slot_decision::refuse;
-  Waiting.push_back(Request);
+  auto Position = std::upper_bound(
+      Waiting.begin(), Waiting.end(), Request,
+      [this](const slot_request &Left, const slot_request &Right) {
+        return hasPriorityOver(Left, Right);
+      });
+  Waiting.insert(Position, Request);
   return slot_decision::wait;
 }
 
@@ -138,8 +164,18 @@
 
 slot_update slot_queue::releaseUnused(instant Now) {
   Running -= Running > 0 ? 1 : 0;
+  return startDue(Now);
+}
+
+std::optional<microseconds> slot_queue::timeUntilStart(instant Now) const {
+  if (Waiting.empty() || Running >= Slots)
+    return std::nullopt;
+  return Rate.timeUntil(1, Now);
+}
+
+slot_update slot_queue::startDue(instant Now) {
   slot_update Update = refuseUnservable(Now);
-  startWaiting(Update);
+  startWaiting(Update, Now);
   return Update;
 }
 
@@ -147,9 +183,13 @@
 
 slot_update slot_queue::refuseUnservable(instant Now) {
   slot_update Update;
+  std::size_t Ahead = 0;
   std::erase_if(Waiting, [&](const slot_request &Request) {
-    if (!cannotMeetDeadline(Request, Now))
+    instant StartsAt = Now + Rate.timeUntil(Ahead + 1, Now);
+    if (!cannotMeetDeadline(Request, StartsAt)) {
+      ++Ahead;
       return false;
+    }
     Update.Refused.push_back(Request.Call);
     recordRefusal(Request, true, Now);
     return true;
@@ -157,16 +197,12 @@
   return Update;
 }
 
-void slot_queue::startWaiting(slot_update &Update) {
-  while (!Waiting.empty() && Running < Slots) {
-    auto First = std::min_element(
-        Waiting.begin(), Waiting.end(),
-        [this](const slot_request &Left, const slot_request &Right) {
-          return hasPriorityOver(Left, Right);
-        });
-    Update.Started.push_back(First->Call);
-    Waiting.erase(First);
+void slot_queue::startWaiting(slot_update &Update, instant Now) {
+  while (!Waiting.empty() && mayStart(Now)) {
+    Update.Started.push_back(Waiting.front().Call);
+    Waiting.erase(Waiting.begin());
     ++Running;
+    Rate.callStarted(Now);
   }
 }
 
@@ -181,6 +217,8 @@
   Load.Running = Running;
   Load.Waiting = static_cast<unsigned>(Waiting.size());
   Load.Limit = Slots;
+  Load.StartInterval = Rate.interval();
+  Load.StartWait = Rate.timeUntil(Waiting.size() + 1, Now);
   Load.ServiceTime = Times.overall();
   Load.Refused = Refusals.ratios(Now);
   return Load;
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -7,6 +7,7 @@
 #include "routing/decaying_ratio.h"
 #include "routing/home_load.h"
 #include "routing/service_times.h"
+#include "routing/start_rate_limiter.h"
 
 namespace chivebeam {
 
@@ -33,7 +34,8 @@
   std::vector<call_number> Refused; ///< never run
 };
 
-/// Enforces the slots of one backend server and orders the waiting calls.
+/// Enforces the slots and the rate limit of one backend server and orders the
+/// waiting calls. A call starts only if a slot is free and the rate allows it.
 /// Nested calls go first, since their caller holds a slot elsewhere; then the
 /// more urgent calls; then those with the earlier goal. A call that cannot be
 /// answered before its deadline is refused at once, also while it waits. Calls
@@ -42,7 +44,10 @@
 class slot_queue {
 public:
   /// Sets the number of slots; with none, every waiting call is refused.
-  slot_update setSlots(unsigned NewSlots);
+  slot_update setSlots(unsigned NewSlots, instant Now);
+  /// Sets the rate at which calls may start; empty: no limit.
+  slot_update setRateLimit(const std::optional<call_rate> &NewLimit,
+                           instant Now);
   unsigned limit() const { return Slots; }
   unsigned running() const { return Running; }
   std::size_t waiting() const { return Waiting.size(); }
@@ -65,6 +70,11 @@
   void recordRefusedAtEntry(unsigned Urgency, unsigned Calls, instant Now);
   /// Refuses waiting calls that can no longer meet their deadline.
   slot_update refuseUnservable(instant Now);
+  /// Returns the time until a waiting call may start by the rate limit; empty
+  /// if none waits for it.
+  std::optional<microseconds> timeUntilStart(instant Now) const;
+  /// Starts the waiting calls that may start now.
+  slot_update startDue(instant Now);
 
   /// Returns by how much the call would miss its goal in the current queue: the
   /// time after which there may be capacity, if no more calls arrived.
@@ -84,14 +94,20 @@
   bool hasPriorityOver(const slot_request &Left,
                        const slot_request &Right) const;
   microseconds expectedWait(const slot_request &Request, instant Now) const;
+  microseconds waitForSlot(const slot_request &Request, instant Now) const;
+  microseconds waitForRate(const slot_request &Request, instant Now) const;
+  bool mayStart(instant Now) const {
+    return Running < Slots && Rate.allows(Now);
+  }
   bool cannotMeetDeadline(const slot_request &Request, instant Now) const;
   bool canAccept(const slot_request &Request, instant Now) const;
-  void startWaiting(slot_update &Update);
+  void startWaiting(slot_update &Update, instant Now);
   void recordRefusal(const slot_request &Request, bool Refused, instant Now);
 
   unsigned Slots = 0;
   unsigned Running = 0;
-  std::vector<slot_request> Waiting;
+  start_rate_limiter Rate;
+  std::vector<slot_request> Waiting; ///< the next one to start first
   service_times Times;
   decaying_rate NestedWork{LoadHalfLife};
   refusal_counter Refusals{LoadHalfLife};
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -142,6 +142,10 @@
   6: map<i32, i32> refused
   7: map<i32, i32> downstream
   8: i32 repeats_below_permille
+  // Mean time between the starts of two calls, and the wait of a new call, by the
+  // rate limit of the backend server; absent if it names none.
+  9: optional i64 start_interval_us
+  10: optional i64 start_wait_us
 }
 
 struct home_record {
@@ -187,6 +191,9 @@
   16: i64 offered_bytes
   // Hash of the content of the call; zero if unknown.
   17: i64 fingerprint
+  // Calls a second that the backend server takes, as it said in the last answer
+  // that the entry node passed on; absent if it named no limit.
+  18: optional double rate_limit
 }
 
 struct call_answer {
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -2723,6 +2723,16 @@
 void home_load::__set_repeats_below_permille(const int32_t val) {
   this->repeats_below_permille = val;
 }
+
+void home_load::__set_start_interval_us(const int64_t val) {
+  this->start_interval_us = val;
+__isset.start_interval_us = true;
+}
+
+void home_load::__set_start_wait_us(const int64_t val) {
+  this->start_wait_us = val;
+__isset.start_wait_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const home_load& obj)
 {
   obj.printTo(out);
@@ -2845,6 +2855,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->start_interval_us);
+          this->__isset.start_interval_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->start_wait_us);
+          this->__isset.start_wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2912,6 +2938,16 @@
   xfer += oprot->writeI32(this->repeats_below_permille);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.start_interval_us) {
+    xfer += oprot->writeFieldBegin("start_interval_us", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->start_interval_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.start_wait_us) {
+    xfer += oprot->writeFieldBegin("start_wait_us", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->start_wait_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2927,6 +2963,8 @@
   swap(a.refused, b.refused);
   swap(a.downstream, b.downstream);
   swap(a.repeats_below_permille, b.repeats_below_permille);
+  swap(a.start_interval_us, b.start_interval_us);
+  swap(a.start_wait_us, b.start_wait_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -2939,6 +2977,8 @@
   refused = other78.refused;
   downstream = other78.downstream;
   repeats_below_permille = other78.repeats_below_permille;
+  start_interval_us = other78.start_interval_us;
+  start_wait_us = other78.start_wait_us;
   __isset = other78.__isset;
 }
 home_load& home_load::operator=(const home_load& other79) {
@@ -2950,6 +2990,8 @@
   refused = other79.refused;
   downstream = other79.downstream;
   repeats_below_permille = other79.repeats_below_permille;
+  start_interval_us = other79.start_interval_us;
+  start_wait_us = other79.start_wait_us;
   __isset = other79.__isset;
   return *this;
 }
@@ -2964,6 +3006,8 @@
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "downstream=" << to_string(downstream);
   out << ", " << "repeats_below_permille=" << to_string(repeats_below_permille);
+  out << ", " << "start_interval_us="; (__isset.start_interval_us ? (out << to_string(start_interval_us)) : (out << "<null>"));
+  out << ", " << "start_wait_us="; (__isset.start_wait_us ? (out << to_string(start_wait_us)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3371,6 +3415,11 @@
 void call_request::__set_fingerprint(const int64_t val) {
   this->fingerprint = val;
 }
+
+void call_request::__set_rate_limit(const double val) {
+  this->rate_limit = val;
+__isset.rate_limit = true;
+}
 std::ostream& operator<<(std::ostream& out, const call_request& obj)
 {
   obj.printTo(out);
@@ -3547,6 +3596,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate_limit);
+          this->__isset.rate_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3640,6 +3697,11 @@
   xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rate_limit) {
+    xfer += oprot->writeFieldBegin("rate_limit", ::apache::thrift::protocol::T_DOUBLE, 18);
+    xfer += oprot->writeDouble(this->rate_limit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3664,6 +3726,7 @@
   swap(a.usual_us, b.usual_us);
   swap(a.offered_bytes, b.offered_bytes);
   swap(a.fingerprint, b.fingerprint);
+  swap(a.rate_limit, b.rate_limit);
   swap(a.__isset, b.__isset);
 }
 
@@ -3685,6 +3748,7 @@
   usual_us = other88.usual_us;
   offered_bytes = other88.offered_bytes;
   fingerprint = other88.fingerprint;
+  rate_limit = other88.rate_limit;
   __isset = other88.__isset;
 }
 call_request& call_request::operator=(const call_request& other89) {
@@ -3705,6 +3769,7 @@
   usual_us = other89.usual_us;
   offered_bytes = other89.offered_bytes;
   fingerprint = other89.fingerprint;
+  rate_limit = other89.rate_limit;
   __isset = other89.__isset;
   return *this;
 }
@@ -3728,6 +3793,7 @@
   out << ", " << "usual_us=" << to_string(usual_us);
   out << ", " << "offered_bytes=" << to_string(offered_bytes);
   out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "rate_limit="; (__isset.rate_limit ? (out << to_string(rate_limit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1111,7 +1111,7 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _home_load__isset {
-  _home_load__isset() : running(false), waiting(false), limit(false), service_time_us(false), failed_permille(false), refused(false), downstream(false), repeats_below_permille(false) {}
+  _home_load__isset() : running(false), waiting(false), limit(false), service_time_us(false), failed_permille(false), refused(false), downstream(false), repeats_below_permille(false), start_interval_us(false), start_wait_us(false) {}
   bool running :1;
   bool waiting :1;
   bool limit :1;
@@ -1120,6 +1120,8 @@
   bool refused :1;
   bool downstream :1;
   bool repeats_below_permille :1;
+  bool start_interval_us :1;
+  bool start_wait_us :1;
 } _home_load__isset;
 
 class home_load : public virtual ::apache::thrift::TBase {
@@ -1133,7 +1135,9 @@
               limit(0),
               service_time_us(0),
               failed_permille(0),
-              repeats_below_permille(0) {
+              repeats_below_permille(0),
+              start_interval_us(0),
+              start_wait_us(0) {
   }
 
   virtual ~home_load() noexcept;
@@ -1145,6 +1149,8 @@
   std::map<int32_t, int32_t>  refused;
   std::map<int32_t, int32_t>  downstream;
   int32_t repeats_below_permille;
+  int64_t start_interval_us;
+  int64_t start_wait_us;
 
   _home_load__isset __isset;
 
@@ -1164,6 +1170,10 @@
 
   void __set_repeats_below_permille(const int32_t val);
 
+  void __set_start_interval_us(const int64_t val);
+
+  void __set_start_wait_us(const int64_t val);
+
   bool operator == (const home_load & rhs) const
   {
     if (!(running == rhs.running))
@@ -1182,6 +1192,14 @@
       return false;
     if (!(repeats_below_permille == rhs.repeats_below_permille))
       return false;
+    if (__isset.start_interval_us != rhs.__isset.start_interval_us)
+      return false;
+    else if (__isset.start_interval_us && !(start_interval_us == rhs.start_interval_us))
+      return false;
+    if (__isset.start_wait_us != rhs.__isset.start_wait_us)
+      return false;
+    else if (__isset.start_wait_us && !(start_wait_us == rhs.start_wait_us))
+      return false;
     return true;
   }
   bool operator != (const home_load &rhs) const {
@@ -1326,7 +1344,7 @@
 std::ostream& operator<<(std::ostream& out, const home_record& obj);
 
 typedef struct _call_request__isset {
-  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false), fingerprint(false) {}
+  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false), fingerprint(false), rate_limit(false) {}
   bool id :1;
   bool service_name :1;
   bool route :1;
@@ -1344,6 +1362,7 @@
   bool usual_us :1;
   bool offered_bytes :1;
   bool fingerprint :1;
+  bool rate_limit :1;
 } _call_request__isset;
 
 class call_request : public virtual ::apache::thrift::TBase {
@@ -1367,7 +1386,8 @@
                  repeat(0),
                  usual_us(0),
                  offered_bytes(0),
-                 fingerprint(0) {
+                 fingerprint(0),
+                 rate_limit(0) {
   }
 
   virtual ~call_request() noexcept;
@@ -1388,6 +1408,7 @@
   int64_t usual_us;
   int64_t offered_bytes;
   int64_t fingerprint;
+  double rate_limit;
 
   _call_request__isset __isset;
 
@@ -1425,6 +1446,8 @@
 
   void __set_fingerprint(const int64_t val);
 
+  void __set_rate_limit(const double val);
+
   bool operator == (const call_request & rhs) const
   {
     if (!(id == rhs.id))
@@ -1461,6 +1484,10 @@
       return false;
     if (!(fingerprint == rhs.fingerprint))
       return false;
+    if (__isset.rate_limit != rhs.__isset.rate_limit)
+      return false;
+    else if (__isset.rate_limit && !(rate_limit == rhs.rate_limit))
+      return false;
     return true;
   }
   bool operator != (const call_request &rhs) const {
--- a/tests/routing/slot_queue_test.cpp
+++ b/tests/routing/slot_queue_test.cpp
@@ -23,7 +23,7 @@
 /// Returns a queue with recorded service times of 50 ms and all slots busy.
 slot_queue busyQueue(unsigned Slots) {
   slot_queue Queue;
-  Queue.setSlots(Slots);
+  Queue.setSlots(Slots, Start);
   for (unsigned Number = 0; Number < 40; ++Number) {
     slot_request Request = request(Number);
     BOOST_REQUIRE(Queue.arrive(Request, Start) == slot_decision::run);
@@ -104,7 +104,7 @@
 BOOST_AUTO_TEST_CASE(without_slots_every_waiting_call_is_refused) {
   slot_queue Queue = busyQueue(4);
   BOOST_REQUIRE(Queue.arrive(request(1), Start) == slot_decision::wait);
-  slot_update Update = Queue.setSlots(0);
+  slot_update Update = Queue.setSlots(0, Start);
   BOOST_TEST(Update.Refused.size() == 1u);
   BOOST_TEST((Queue.arrive(request(2), Start) == slot_decision::refuse));
 }
@@ -128,7 +128,7 @@
 // of such calls on other servers.
 BOOST_AUTO_TEST_CASE(a_new_server_takes_no_more_than_it_can_serve) {
   slot_queue Queue;
-  Queue.setSlots(6);
+  Queue.setSlots(6, Start);
   unsigned Taken = 0;
   for (unsigned Number = 0; Number < 80; ++Number) {
     slot_request Request = request(Number, milliseconds(400));
