Part the entry router by what its pieces decide

No change of behaviour: the mesh suites calls, lost_calls, changes, faulty_server, crashing_request and config_use pass.

--- /dev/null
+++ b/src/chivebeam/mesh/entry_call.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <set>
+
+#include "mesh/silent_attempts.h"
+#include "routing/retry_policy.h"
+
+namespace chivebeam {
+
+/// A call with its routing decisions and attempts.
+struct entry_call {
+  fleet_view_ptr View;
+  /// Expected run time before one is measured.
+  microseconds AssumedDuration{0};
+  version_name Version;
+  bool OnNewVersion = false;
+  mesh_call Call;
+  attempt_history History;
+  std::set<node_id> Tried;
+  microseconds RetryAfter{0};
+  unsigned Attempts = 0;
+  /// Home nodes that were asked and could be reached.
+  unsigned HomeNodesAsked = 0;
+  instant ArrivedAt;
+  std::shared_ptr<silent_attempts> Silent;
+};
+
+} // namespace chivebeam
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "net/clock.h"
-#include "telemetry/log_event.h"
 
 namespace chivebeam {
 
@@ -14,40 +13,9 @@
 /// Retry time while no home node has capacity: slots become free within a few
 /// calls.
 constexpr milliseconds NoCapacityRetryAfter{100};
-/// Refusal ratio downstream above which a server's failure is attributed to
-/// overload of the services that it calls.
-constexpr unsigned DownstreamOverloadPermille = 100;
-constexpr unsigned LowestUrgency = ~0U;
-/// A retried call sends its nested calls again, which no retry budget can
-/// prevent. So a call is not retried once this part of the retry budgets of
-/// downstream services is used.
-constexpr unsigned MaxDownstreamRetryBudgetPermille = 300;
 /// Retry times are extended at random by up to this percentage, so that callers
 /// that were refused together don't return together.
 constexpr int RetryAfterJitterPercent = 50;
-/// Largest number of home nodes that are asked to run one call. If so many have
-/// no capacity, the service is full, and further attempts cost more than they
-/// gain.
-constexpr unsigned MaxHomeNodesAsked = 6;
-/// Before a run time is measured on a route, the route's goal divided by this
-/// is assumed, since operators set goals at a few times the usual run time.
-constexpr int AssumedDurationDivisor = 3;
-/// An attempt is retried only if this percentage of the usual run time is left
-/// before the deadline. The threshold is below the mean since half of the calls
-/// are faster, as in the queue of home nodes.
-constexpr int MinAttemptPercent = 60;
-/// Shortest time in which another attempt can complete.
-constexpr milliseconds MinAttemptTime{10};
-/// Rate and burst of log lines for calls that succeed at the first attempt. All
-/// other calls are logged.
-constexpr double SuccessLogLinesPerSecond = 5;
-constexpr double SuccessLogLinesBurst = 20;
-/// Longest run time of a call if neither its caller nor its route sets one.
-constexpr milliseconds DefaultCallTimeout{10'000};
-/// Bounds the map of timeouts by route, since routes change. The map is cleared
-/// when it is full, and the timeouts are learned again.
-constexpr std::size_t MaxCallerTimeoutEntries = 4'096;
-
 std::uint64_t seedOf(const node_id &Node) {
   return std::hash<std::string>()(Node.str()) ^
          static_cast<std::uint64_t>(currentTime().time_since_epoch().count());
@@ -74,33 +42,8 @@
   return call_verdict::failed;
 }
 
-bool isServerAnswer(const mesh_answer &Answer) {
-  return Answer.Outcome == attempt_outcome::answered ||
-         Answer.Outcome == attempt_outcome::server_failed;
-}
-
 } // namespace
 
-void entry_router::silent_attempts::add(const cancel_signal &Cancel) {
-  Cancels.push_back(Cancel);
-  ++Open;
-}
-
-void entry_router::silent_attempts::ended(const endpoint &Endpoint,
-                                          mesh_answer Answer) {
-  --Open;
-  if (FirstAnswer.isSet() ||
-      !(isServerAnswer(Answer) || (AwaitsLast && Open == 0)))
-    return;
-  AnsweredBy = Endpoint;
-  FirstAnswer.set(std::move(Answer));
-}
-
-void entry_router::silent_attempts::cancel() {
-  for (const cancel_signal &Cancel : Cancels)
-    Cancel.raise();
-}
-
 entry_router::entry_router(asio::io_context &IoContext,
                            const mesh_settings &MeshSettings,
                            const call_protocol &CallProtocol,
@@ -108,18 +51,18 @@
                            peer_hub &PeerHub, mesh_metrics &MeshMetrics)
     : Context(IoContext), Settings(MeshSettings), Protocol(CallProtocol),
       State(MeshState), Home(HomeRunner), Hub(PeerHub), Metrics(MeshMetrics),
-      Random(seedOf(Settings.Node)), Services(seedOf(Settings.Node)),
-      Versions(seedOf(Settings.Node)),
+      Random(seedOf(Settings.Node)),
+      Preparer(Settings, Protocol, seedOf(Settings.Node)),
       Picker(Settings.Domain, seedOf(Settings.Node)),
-      RetryBudget(Settings.RetryBudget),
-      SuccessLogBudget(SuccessLogLinesPerSecond, SuccessLogLinesBurst) {}
+      RetryBudget(Settings.RetryBudget), Retries(State, Picker, RetryBudget),
+      Downstream(State, Picker, RetryBudget) {}
 
 void entry_router::viewChanged() {
   RetryBudget.setNodes(static_cast<unsigned>(State.directory().size()));
   if (!State.view())
     return;
   Picker.removeAbsent(*State.view());
-  Services.keepOnly(State.view()->Config->routes());
+  Preparer.keepOnly(State.view()->Config->routes());
 }
 
 std::optional<own_answer>
@@ -133,60 +76,6 @@
   return ConfigMayBeStale() ? own_answer::not_ready : own_answer::no_route;
 }
 
-instant entry_router::firstAttemptTime(const route_rule &Route,
-                                       const entry_request &Request) {
-  if (!Request.CallerTimeout)
-    return Request.ArrivedAt;
-  if (LongestCallerTimeout.size() >= MaxCallerTimeoutEntries &&
-      !LongestCallerTimeout.contains(Route.Name))
-    LongestCallerTimeout.clear();
-  milliseconds &MaxTimeout = LongestCallerTimeout[Route.Name];
-  MaxTimeout = std::max(MaxTimeout, *Request.CallerTimeout);
-  return Request.ArrivedAt - (MaxTimeout - *Request.CallerTimeout);
-}
-
-void entry_router::prepare(entry_call &Entry, const route_rule &Route,
-                           entry_request Request, instant Now) {
-  Entry.AssumedDuration = Route.Goal / AssumedDurationDivisor;
-  Entry.ArrivedAt = Request.ArrivedAt;
-  mesh_call &Call = Entry.Call;
-  Call.Id = Request.Id;
-  Call.Route = Route.Name;
-  Call.Service = Services.choose(Route);
-  Call.Idempotent = Route.Idempotent;
-  Call.Urgency = Route.Urgency;
-  std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
-  Call.Nested = Parent.has_value();
-  Call.IsRetry = Parent && Home.isRunningRetry(*Parent);
-  milliseconds Longest =
-      Route.Deadline.count() > 0 ? Route.Deadline : DefaultCallTimeout;
-  Call.Deadline = Request.ArrivedAt +
-                  std::min(Longest, Request.CallerTimeout.value_or(Longest));
-  Call.Goal = Route.Goal.count() > 0
-                  ? firstAttemptTime(Route, Request) + Route.Goal
-                  : Call.Deadline;
-  Call.Fingerprint =
-      fingerprintOf(Request.Method, Request.Host, Request.Target,
-                    Request.Body ? std::string_view(*Request.Body) : "");
-  Call.Method = std::move(Request.Method);
-  Call.Target = std::move(Request.Target);
-  Call.Fields = std::move(Request.Fields);
-  Protocol.setCaller(Call.Fields, Settings.Service);
-  Call.Body = std::move(Request.Body);
-  Entry.History.Idempotent = Route.Idempotent;
-  Entry.History.MaxServers = std::max(Route.MaxWorkers, 1U);
-  auto Split = Entry.View->Splits.find(Call.Service);
-  if (Split != Entry.View->Splits.end()) {
-    Entry.Version = Versions.choose(Call.Service, Split->second, "");
-    Entry.OnNewVersion =
-        !Split->second.New.empty() && Entry.Version == Split->second.New;
-  }
-  if (Call.IsRetry)
-    RetryBudget.recordRetry(Call.Service, Now);
-  else
-    RetryBudget.callStarted(Call.Service, Now);
-}
-
 awaitable<entry_result> entry_router::run(entry_request Request,
                                           cancel_signal Cancel) {
   entry_call Entry;
@@ -207,7 +96,13 @@
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::no_route, {}};
   instant Now = currentTime();
-  prepare(Entry, *Route, std::move(Request), Now);
+  std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
+  Preparer.prepare(Entry, *Route, std::move(Request));
+  Entry.Call.IsRetry = Parent && Home.isRunningRetry(*Parent);
+  if (Entry.Call.IsRetry)
+    RetryBudget.recordRetry(Entry.Call.Service, Now);
+  else
+    RetryBudget.callStarted(Entry.Call.Service, Now);
   if (!admit(Entry, Now))
     co_return refuseAtEntry(Entry, "a downstream service is overloaded");
   ++OpenCalls;
@@ -243,56 +138,10 @@
                      Protocol.noticeIn(Answer.Fields), Now);
 }
 
-bool entry_router::retryIsUseful(const entry_call &Entry,
-                                 attempt_outcome Outcome, instant Now) const {
-  const mesh_call &Call = Entry.Call;
-  if (!State.suspects().mayRetry(Call.Fingerprint))
-    return false;
-  // If a server failed because the services it calls are overloaded, the call
-  // would fail on other servers as well.
-  const endpoint_group *Group =
-      findGroup(*Entry.View, Call.Service, Entry.Version);
-  overload_view Observed =
-      Group ? Picker.overload(*Group, Now) : overload_view();
-  bool DownstreamOverloaded =
-      Outcome == attempt_outcome::server_failed &&
-      highestRefusalRatio(Observed.Downstream, LowestUrgency) >
-          DownstreamOverloadPermille;
-  return !DownstreamOverloaded && Observed.DownstreamRetryBudgetPermille <=
-                                      MaxDownstreamRetryBudgetPermille;
-}
-
-bool entry_router::mayRetry(const entry_call &Entry, attempt_outcome Outcome,
-                            instant Now) {
-  return retryIsUseful(Entry, Outcome, Now) &&
-         RetryBudget.takeRetry(Entry.Call.Service, Now);
-}
-
-bool entry_router::mayMoveOn(const entry_call &Entry, instant Now) {
-  attempt_history History = Entry.History;
-  ++History.ServersReached;
-  History.UntriedServerLeft = mayAskAnotherNode(Entry);
-  History.TimeLeft = hasTimeForAttempt(Entry, Now);
-  auto BudgetLeft = [&] {
-    return retryIsUseful(Entry, attempt_outcome::lost, Now) &&
-           RetryBudget.hasRetryLeft(Entry.Call.Service, Now);
-  };
-  return decideNext(attempt_outcome::lost, History, BudgetLeft) ==
-         next_step::retry;
-}
-
-bool entry_router::hasTimeForAttempt(const entry_call &Entry,
-                                     instant Now) const {
-  microseconds MinRemaining =
-      usualTime(Entry, endpoint(), Now) * MinAttemptPercent / 100;
-  return Now + std::max<microseconds>(MinRemaining, MinAttemptTime) <
-         Entry.Call.Deadline;
-}
-
 bool entry_router::admit(const entry_call &Entry, instant Now) {
   const mesh_call &Call = Entry.Call;
   if (Call.Nested) {
-    CalledServices.recordNestedCall(Call.Service, Now);
+    Downstream.recordNestedCall(Call.Service, Now);
     return true;
   }
   const endpoint_group *Group =
@@ -301,33 +150,6 @@
          Roots.admit(Call.Route, Call.Urgency, Picker.overload(*Group, Now));
 }
 
-refusal_ratios entry_router::downstreamRefusals(instant Now) const {
-  refusal_ratios Worst;
-  if (!State.view())
-    return Worst;
-  for (const service_name &Service : CalledServices.current(Now)) {
-    auto Versions = State.view()->Endpoints.find(Service);
-    if (Versions == State.view()->Endpoints.end())
-      continue;
-    for (const auto &[Version, Group] : Versions->second)
-      for (const refusal_ratio &Ratio : Picker.overload(Group, Now).Own)
-        if (Ratio.Permille > refusalRatioAt(Worst, Ratio.Urgency)) {
-          std::erase_if(Worst, [&](const refusal_ratio &Known) {
-            return Known.Urgency == Ratio.Urgency;
-          });
-          Worst.push_back(Ratio);
-        }
-  }
-  return Worst;
-}
-
-unsigned entry_router::downstreamRetryBudgetUsage(instant Now) {
-  double Most = 0;
-  for (const service_name &Service : CalledServices.current(Now))
-    Most = std::max(Most, RetryBudget.usedFraction(Service, Now));
-  return static_cast<unsigned>(std::min(Most, 1.0) * 1'000);
-}
-
 entry_result entry_router::refuseAtEntry(entry_call &Entry,
                                          std::string Reason) {
   const mesh_call &Call = Entry.Call;
@@ -366,20 +188,6 @@
           Call.Nested,         Call.Urgency};
 }
 
-bool entry_router::mayAskAnotherNode(const entry_call &Entry) const {
-  if (Entry.HomeNodesAsked >= MaxHomeNodesAsked)
-    return false;
-  const endpoint_group *Group =
-      findGroup(*Entry.View, Entry.Call.Service, Entry.Version);
-  if (!Group)
-    return false;
-  auto IsUntried = [&](const endpoint &Endpoint) {
-    return !Entry.Tried.contains(Endpoint.Node);
-  };
-  return std::any_of(Group->Local.begin(), Group->Local.end(), IsUntried) ||
-         std::any_of(Group->Remote.begin(), Group->Remote.end(), IsUntried);
-}
-
 awaitable<entry_result> entry_router::runAttempts(entry_call &Entry,
                                                   cancel_signal Cancel) {
   for (;;) {
@@ -407,9 +215,9 @@
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
     recordServerEnd(Entry, Endpoint, Answer, Now);
     recordNotice(Endpoint, Answer, Now);
-    recordAttempt(Entry, Answer, Now);
+    Retries.recordAttempt(Entry, Answer, Now);
     next_step Step = decideNext(Answer.Outcome, Entry.History, [&] {
-      return mayRetry(Entry, Answer.Outcome, Now);
+      return Retries.mayRetry(Entry, Answer.Outcome, Now);
     });
     if (Answer.Outcome == attempt_outcome::lost ||
         Answer.Outcome == attempt_outcome::server_failed)
@@ -457,25 +265,6 @@
   co_return finish(Entry, next_step::deliver, std::move(*Answer));
 }
 
-void entry_router::recordAttempt(entry_call &Entry, const mesh_answer &Answer,
-                                 instant Now) {
-  if (reachedServer(Answer.Outcome)) {
-    ++Entry.History.ServersReached;
-    Entry.Call.IsRetry = true;
-  }
-  Entry.HomeNodesAsked += Answer.Unreachable ? 0 : 1;
-  Entry.View = State.view() ? State.view() : Entry.View;
-  Entry.History.UntriedServerLeft = mayAskAnotherNode(Entry);
-  Entry.History.TimeLeft = hasTimeForAttempt(Entry, Now);
-}
-
-microseconds entry_router::usualTime(const entry_call &Entry,
-                                     const endpoint &Endpoint,
-                                     instant Now) const {
-  microseconds Known = Picker.usualTime(Entry.Call.Route, Endpoint, Now);
-  return Known.count() > 0 ? Known : Entry.AssumedDuration;
-}
-
 awaitable<mesh_answer> entry_router::runAttempt(entry_call &Entry,
                                                 endpoint Endpoint,
                                                 cancel_signal Cancel) {
@@ -499,14 +288,14 @@
   });
   mesh_call Call = Entry.Call;
   Call.Worker = Endpoint.Worker;
-  Call.UsualDuration = usualTime(Entry, Endpoint, Now);
+  Call.UsualDuration = Retries.usualTime(Entry, Endpoint, Now);
   Call.KnownRateLimit =
       Notices.rateLimit({Endpoint.Worker, Endpoint.StartedAtMs});
   if (!Call.Nested)
     Call.RefusedAtEntry =
         std::exchange(RefusedAtEntry[{Call.Service, Call.Urgency}], 0);
   Picker.callStarted(Endpoint, Now);
-  Versions.callStarted(Call.Service, Entry.OnNewVersion);
+  Preparer.versions().callStarted(Call.Service, Entry.OnNewVersion);
   if (Endpoint.Node == Settings.Node)
     Home.run(std::move(Call), Attempt, Reply);
   else
@@ -515,7 +304,7 @@
       co_await PendingAnswer.wait(Entry.Call.Deadline - Now);
   instant AnsweredAt = currentTime();
   bool IsSilent = Answer && Answer->Silent && !LateAnswer.isSet();
-  if (IsSilent && mayMoveOn(Entry, AnsweredAt)) {
+  if (IsSilent && Retries.mayMoveOn(Entry, AnsweredAt)) {
     // The home node may still run the call, so the attempt goes on until there
     // is another answer.
     *MovedOn = true;
@@ -524,7 +313,7 @@
     Answer = co_await LateAnswer.wait(Entry.Call.Deadline - AnsweredAt);
   }
   Cancel.onRaise(nullptr);
-  Versions.callEnded(Entry.Call.Service, Entry.OnNewVersion);
+  Preparer.versions().callEnded(Entry.Call.Service, Entry.OnNewVersion);
   if (!Answer)
     Attempt.raise();
   if (Answer)
@@ -591,38 +380,9 @@
 void entry_router::log(const entry_call &Entry, const endpoint &Endpoint,
                        const mesh_answer &Answer, next_step Step,
                        microseconds Took) {
-  bool IsSuccessAtOnce = Step == next_step::deliver && Entry.Attempts == 1 &&
-                         Answer.Outcome == attempt_outcome::answered;
   instant Now = currentTime();
-  if (IsSuccessAtOnce && !SuccessLogBudget.take(Now)) {
-    ++OmittedLines;
-    return;
-  }
-  const home_load *Load = Picker.recentLoad(Endpoint, Now);
-  log_event Line("call");
-  Line.add("request", Entry.Call.Id)
-      .add("route", Entry.Call.Route)
-      .add("service", Entry.Call.Service)
-      .add("version", Entry.Version)
-      .add("config", Entry.View->Config->number())
-      .add("home", Endpoint.Node)
-      .add("worker", Endpoint.Worker)
-      .add("attempt", Entry.Attempts)
-      .add("outcome", toString(Answer.Outcome))
-      .add("status", Answer.Status)
-      .add("took_us", Took.count())
-      .add("left_us", (Entry.Call.Deadline - Now).count())
-      .add("next", toString(Step));
-  if (Load)
-    Line.add("running", Load->Running)
-        .add("waiting", Load->Waiting)
-        .add("limit", Load->Limit);
-  if (Answer.Outcome != attempt_outcome::answered)
-    Line.add("fingerprint", toHex(Entry.Call.Fingerprint));
-  if (!Answer.Reason.empty())
-    Line.add("reason", Answer.Reason);
-  if (std::uint64_t Omitted = std::exchange(OmittedLines, 0))
-    Line.add("omitted_lines", Omitted);
+  Log.attemptEnded(Entry, Endpoint, Answer, Step, Took,
+                   Picker.recentLoad(Endpoint, Now), Now);
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -1,32 +1,19 @@
 #pragma once
 
-#include "base/token_bucket.h"
+#include "mesh/call_log.h"
+#include "mesh/call_preparer.h"
+#include "mesh/downstream_services.h"
 #include "mesh/home_runner.h"
 #include "mesh/mesh_metrics.h"
 #include "mesh/mesh_state.h"
 #include "mesh/peer_hub.h"
-#include "routing/called_services.h"
+#include "mesh/retry_decider.h"
 #include "routing/expected_latency_picker.h"
 #include "routing/passed_notices.h"
-#include "routing/version_splitter.h"
-#include "routing/weighted_splitter.h"
 #include "routing/windowed_retry_budget.h"
 
 namespace chivebeam {
 
-/// A call as received from its caller.
-struct entry_request {
-  request_id Id;
-  std::string Method;
-  std::string Target;
-  std::string Host;
-  header_list Fields;
-  shared_body Body;
-  /// Time that the caller waits for the answer.
-  std::optional<milliseconds> CallerTimeout;
-  instant ArrivedAt;
-};
-
 /// Result of a call at its entry node.
 struct entry_result {
   enum class kind { served, own, caller_gone };
@@ -68,59 +55,9 @@
   /// their end.
   void close() { Closed = true; }
   std::size_t openCalls() const { return OpenCalls; }
-  /// Returns the highest refusal ratios, by urgency, of the services that the
-  /// backend server beside this node has called recently.
-  refusal_ratios downstreamRefusals(instant Now) const;
-  /// Returns the used part of the retry budgets of these services, in permille:
-  /// the highest value of them.
-  unsigned downstreamRetryBudgetUsage(instant Now);
+  downstream_services &downstream() { return Downstream; }
 
 private:
-  /// Attempts at home nodes that fell silent and whose call was sent to another
-  /// node as well. Their answers may still come. Shared with the replies of the
-  /// attempts.
-  struct silent_attempts {
-    explicit silent_attempts(const asio::any_io_executor &Executor)
-        : FirstAnswer(Executor) {}
-    void add(const cancel_signal &Cancel);
-    /// Notes the late end of an attempt.
-    void ended(const endpoint &Endpoint, mesh_answer Answer);
-    void cancel();
-
-    one_shot<mesh_answer> FirstAnswer;
-    endpoint AnsweredBy;
-    std::vector<cancel_signal> Cancels;
-    std::size_t Open = 0;
-    bool AwaitsLast =
-        false; ///< the call waits until the last attempt has ended
-  };
-
-  /// A call with its routing decisions and attempts.
-  struct entry_call {
-    fleet_view_ptr View;
-    /// Expected run time before one is measured.
-    microseconds AssumedDuration{0};
-    version_name Version;
-    bool OnNewVersion = false;
-    mesh_call Call;
-    attempt_history History;
-    std::set<node_id> Tried;
-    microseconds RetryAfter{0};
-    unsigned Attempts = 0;
-    /// Home nodes that were asked and could be reached.
-    unsigned HomeNodesAsked = 0;
-    instant ArrivedAt;
-    std::shared_ptr<silent_attempts> Silent;
-  };
-
-  void prepare(entry_call &Entry, const route_rule &Route,
-               entry_request Request, instant Now);
-  /// Returns the time when the caller sent its first attempt. A caller that
-  /// retries is expected to lower its timeout by the time that has passed, so
-  /// the difference from the longest timeout seen on the route is the age of
-  /// the request.
-  instant firstAttemptTime(const route_rule &Route,
-                           const entry_request &Request);
   awaitable<entry_result> runAttempts(entry_call &Entry, cancel_signal Cancel);
   awaitable<mesh_answer> runAttempt(entry_call &Entry, endpoint Endpoint,
                                     cancel_signal Cancel);
@@ -128,18 +65,6 @@
   /// may still answer. Returns empty if none answers before the deadline.
   awaitable<std::optional<entry_result>>
   waitForSilentNodes(entry_call &Entry, cancel_signal Cancel);
-  /// True if a call whose home node is silent may be sent to another backend
-  /// server. Otherwise it waits for the answer.
-  bool mayMoveOn(const entry_call &Entry, instant Now);
-  /// False if another attempt would fail as well, or would overload the
-  /// services that the backend servers call.
-  bool retryIsUseful(const entry_call &Entry, attempt_outcome Outcome,
-                     instant Now) const;
-  /// True if another attempt can end before the deadline.
-  bool hasTimeForAttempt(const entry_call &Entry, instant Now) const;
-  /// True if a call may be sent to another backend server. Uses the retry
-  /// budget then.
-  bool mayRetry(const entry_call &Entry, attempt_outcome Outcome, instant Now);
   /// True if the call must not reach a backend server, since it crashes them.
   /// Sets its retry time then.
   bool isQuarantined(entry_call &Entry, instant Now);
@@ -152,14 +77,7 @@
   /// True if the call is nested or admitted as a call of an outside caller.
   bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
-  /// True if a home node is left that this call has not asked, and the call may
-  /// ask one more.
-  bool mayAskAnotherNode(const entry_call &Entry) const;
   static call_needs needsOf(const entry_call &Entry, instant Now);
-  microseconds usualTime(const entry_call &Entry, const endpoint &Endpoint,
-                         instant Now) const;
-  /// Updates the call's history with the result of an attempt.
-  void recordAttempt(entry_call &Entry, const mesh_answer &Answer, instant Now);
   /// Ends a call for which no home node has capacity.
   entry_result refuseAtEntry(entry_call &Entry, std::string Reason);
   /// Ends a call without asking a home node, or without asking another one.
@@ -180,21 +98,17 @@
   peer_hub &Hub;
   mesh_metrics &Metrics;
   random_source Random;
-  weighted_splitter Services;
-  version_splitter Versions;
+  call_preparer Preparer;
   expected_latency_picker Picker;
   windowed_retry_budget RetryBudget;
-  root_admission Roots;
+  retry_decider Retries;
+  downstream_services Downstream;
   passed_notices Notices;
-  called_services CalledServices;
+  root_admission Roots;
   /// Calls that this node refused without asking a home node, by service and
   /// urgency, since it last sent such a call.
   std::map<std::pair<service_name, unsigned>, unsigned> RefusedAtEntry;
-  /// Longest timeout that callers of a route have sent. First attempts have it.
-  std::unordered_map<route_name, milliseconds> LongestCallerTimeout;
-  /// Limits the log lines of calls that succeeded at the first attempt.
-  token_bucket SuccessLogBudget;
-  std::uint64_t OmittedLines = 0;
+  call_log Log;
   std::function<bool()> ConfigMayBeStale = [] { return false; };
   std::size_t OpenCalls = 0;
   bool Closed = false;
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -284,8 +284,8 @@
     if (Dependencies.SettingsMayHaveChanged())
       reload("the settings file changed");
   }
-  Home.setDownstream(Router.downstreamRefusals(Now),
-                     Router.downstreamRetryBudgetUsage(Now));
+  Home.setDownstream(Router.downstream().refusals(Now),
+                     Router.downstream().retryBudgetUsage(Now));
   reportEvidence(Now);
   MoveExecutor.tick(Now);
 }
