Send no call to a server that says in an answer that it leaves

Callers of such a server could lose their calls when it ended: a node stopped using it only after its report, and nothing read the field in its answers.

The home node now treats the notice as it does a report that the server leaves: queued and new calls are refused as not run, so that entry nodes send them elsewhere, the record says so and the store keeps it for the next process. Each node that passed the answer on also remembers it by the start of the server, and leaves it out of its view, so that a home node that starts again without that knowledge gets no call from it. A later start under the same name is used.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -132,10 +132,10 @@
 }
 
 void entry_router::recordNotice(const endpoint &Endpoint,
-                                const mesh_answer &Answer, instant Now) {
+                                const mesh_answer &Answer) {
   if (Answer.Status > 0)
-    Notices.answered({Endpoint.Worker, Endpoint.StartedAtMs},
-                     Protocol.noticeIn(Answer.Fields), Now);
+    State.answerPassed({Endpoint.Worker, Endpoint.StartedAtMs},
+                       Protocol.noticeIn(Answer.Fields));
 }
 
 bool entry_router::admit(const entry_call &Entry, instant Now) {
@@ -214,7 +214,7 @@
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
     recordServerEnd(Entry, Endpoint, Answer, Now);
-    recordNotice(Endpoint, Answer, Now);
+    recordNotice(Endpoint, Answer);
     Retries.recordAttempt(Entry, Answer, Now);
     next_step Step = decideNext(Answer.Outcome, Entry.History, [&] {
       return Retries.mayRetry(Entry, Answer.Outcome, Now);
@@ -259,7 +259,7 @@
   }
   if (!Answer || !isServerAnswer(*Answer))
     co_return std::nullopt;
-  recordNotice(Silent->AnsweredBy, *Answer, currentTime());
+  recordNotice(Silent->AnsweredBy, *Answer);
   log(Entry, Silent->AnsweredBy, *Answer, next_step::deliver,
       currentTime() - Started);
   co_return finish(Entry, next_step::deliver, std::move(*Answer));
@@ -290,7 +290,7 @@
   Call.Worker = Endpoint.Worker;
   Call.UsualDuration = Retries.usualTime(Entry, Endpoint, Now);
   Call.KnownRateLimit =
-      Notices.rateLimit({Endpoint.Worker, Endpoint.StartedAtMs});
+      State.notices().rateLimit({Endpoint.Worker, Endpoint.StartedAtMs});
   if (!Call.Nested)
     Call.RefusedAtEntry =
         std::exchange(RefusedAtEntry[{Call.Service, Call.Urgency}], 0);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -9,7 +9,6 @@
 #include "mesh/peer_hub.h"
 #include "mesh/retry_decider.h"
 #include "routing/expected_latency_picker.h"
-#include "routing/passed_notices.h"
 #include "routing/windowed_retry_budget.h"
 
 namespace chivebeam {
@@ -72,8 +71,7 @@
   void recordServerEnd(const entry_call &Entry, const endpoint &Endpoint,
                        const mesh_answer &Answer, instant Now);
   /// Notes what the backend server says about itself in an answer.
-  void recordNotice(const endpoint &Endpoint, const mesh_answer &Answer,
-                    instant Now);
+  void recordNotice(const endpoint &Endpoint, const mesh_answer &Answer);
   /// True if the call is nested or admitted as a call of an outside caller.
   bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
@@ -103,7 +101,6 @@
   windowed_retry_budget RetryBudget;
   retry_decider Retries;
   downstream_services Downstream;
-  passed_notices Notices;
   root_admission Roots;
   /// Calls that this node refused without asking a home node, by service and
   /// urgency, since it last sent such a call.
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -87,6 +87,8 @@
                               instant Now) {
   if (Notices.answered(Start, Notice, SentAt, Now))
     apply(Queue.setRateLimit(Notices.rateLimit(), Now));
+  if (Notice.IsLeaving)
+    OnServerLeaving(Start);
 }
 
 void home_runner::applyKnownLimit(const mesh_call &Call, instant Now) {
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -24,6 +24,7 @@
 class home_runner {
 public:
   using reply = std::function<void(mesh_answer)>;
+  using leaving_handler = std::function<void(const worker_start &)>;
   /// Receives the decision on an offered body: empty if the body may be sent,
   /// otherwise the answer to the call, which was not run.
   using body_decision = std::function<void(std::optional<mesh_answer>)>;
@@ -32,6 +33,11 @@
   home_runner(asio::io_context &Context, const call_protocol &Protocol,
               suspect_listener &Suspects, double LinkBytesPerSecond);
 
+  /// Sets the handler that is called when a start of the backend server says in
+  /// an answer that it leaves.
+  void onServerLeaving(leaving_handler Handler) {
+    OnServerLeaving = std::move(Handler);
+  }
   /// Applies the newest report of the backend server beside this node.
   void updateWorker(const worker_report &Report);
   /// Refuses all waiting and new calls as not run.
@@ -113,6 +119,7 @@
   asio::io_context &Context;
   const call_protocol &Protocol;
   suspect_listener &Suspects;
+  leaving_handler OnServerLeaving = [](const worker_start &) {};
   std::optional<worker_report> Worker;
   bool Stopping = false;
   slot_queue Queue;
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -341,7 +341,7 @@
   MoveExecutor.forgetStore(Era);
   OperatorSubscription.restart();
   MeshSubscription.restart();
-  asio::co_spawn(Context, Workers.saveAgain(), asio::detached);
+  asio::co_spawn(Context, Workers.storeLeaving(), asio::detached);
 }
 
 void mesh_node::checkSuspension() {
--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -34,9 +34,12 @@
     return Directory.find(Item.first) == nullptr;
   });
   RebuiltAt = currentTime();
-  View = Config
-             ? makeMeshView(Config, Directory.records(), Moves, Settings.Domain)
-             : nullptr;
+  std::vector<home_record> Records = Directory.records();
+  std::erase_if(Records, [this](const home_record &Record) {
+    return Notices.isLeaving(Record.Start);
+  });
+  View =
+      Config ? makeMeshView(Config, Records, Moves, Settings.Domain) : nullptr;
   if (OnChange)
     OnChange();
 }
@@ -167,6 +170,16 @@
   return Gone;
 }
 
+void mesh_state::answerPassed(const worker_start &Server,
+                              const server_notice &Notice) {
+  bool WasLeaving = Notices.isLeaving(Server);
+  Notices.answered(Server, Notice, currentTime());
+  if (WasLeaving || !Notices.isLeaving(Server))
+    return;
+  log_event("server_leaving_seen").add("worker", Server.Worker);
+  rebuild();
+}
+
 void mesh_state::tick(instant Now) {
   Directory.nodeAnswered(Settings.Node, Now);
   Directory.expire(Now);
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -11,6 +11,7 @@
 #include "mesh/operator_document_format.h"
 #include "mesh/peer_state_listener.h"
 #include "routing/mesh_view.h"
+#include "routing/passed_notices.h"
 #include "routing/suspect_listener.h"
 
 namespace chivebeam {
@@ -84,6 +85,10 @@
   /// Sets when this node, as a watcher, had last read all changes of the store;
   /// zero: it does not read them.
   void setStoreReadAt(instant At) { StoreReadAt = At; }
+  /// Notes what a backend server says about itself in an answer that this node
+  /// passes on. One that leaves is in no later view.
+  void answerPassed(const worker_start &Server, const server_notice &Notice);
+  const passed_notices &notices() const { return Notices; }
   /// Raises the own change number to the one that an earlier process of this
   /// node reached, so that every node accepts the next record as newer.
   void raiseChangeNumber(std::uint64_t Change) {
@@ -172,6 +177,7 @@
   std::map<node_id, digest_comparison> Digests; ///< by peer
   service_moves Moves;
   crash_suspects Suspects;
+  passed_notices Notices;
   fleet_view_ptr View;
   change_handler OnChange;
   change_handler OnNewConfig;
--- a/src/chivebeam/mesh/worker_report_handler.cpp
+++ b/src/chivebeam/mesh/worker_report_handler.cpp
@@ -18,15 +18,17 @@
 } // namespace
 
 worker_report_handler::worker_report_handler(
-    asio::io_context &Context, const mesh_settings &MeshSettings,
+    asio::io_context &IoContext, const mesh_settings &MeshSettings,
     const worker_protocol &WorkerProtocol, home_runner &HomeRunner,
     mesh_state &MeshState, config_store &Store)
-    : Settings(MeshSettings), Protocol(WorkerProtocol), Home(HomeRunner),
-      State(MeshState), Notes(Store, Settings),
+    : Context(IoContext), Settings(MeshSettings), Protocol(WorkerProtocol),
+      Home(HomeRunner), State(MeshState), Notes(Store, Settings),
       Reports(Settings.ReportInterval),
       Service(Context, MaxReportBytes,
               [this](const http_request &Request, const address &)
                   -> awaitable<http_response> { return handle(Request); }) {
+  Home.onServerLeaving(
+      [this](const worker_start &Start) { serverLeaves(Start); });
   State.onOwnCopy([this](const home_record &Copy) { restore(Copy); });
 }
 
@@ -107,12 +109,21 @@
   announce();
 }
 
+void worker_report_handler::serverLeaves(const worker_start &Start) {
+  report_effect Effect =
+      Reports.leave(Start.Worker, Start.StartedAtMs, currentTime());
+  if (Effect != report_effect::changed)
+    return;
+  announce();
+  asio::co_spawn(Context, storeLeaving(), asio::detached);
+}
+
 void worker_report_handler::leave() {
   NodeLeaving = true;
   announce();
 }
 
-awaitable<void> worker_report_handler::saveAgain() {
+awaitable<void> worker_report_handler::storeLeaving() {
   Notes.forgetRevision();
   auto IsLeaving = [this] {
     return Reports.current() &&
--- a/src/chivebeam/mesh/worker_report_handler.h
+++ b/src/chivebeam/mesh/worker_report_handler.h
@@ -24,9 +24,9 @@
   result<address> listen();
   /// Reads from the store whether the backend server leaves.
   awaitable<void> load();
-  /// Stores again that the backend server leaves, after the store came back
-  /// from an older copy.
-  awaitable<void> saveAgain();
+  /// Stores that the backend server leaves, if it does. Repeats this until the
+  /// store confirms it, for a bounded time.
+  awaitable<void> storeLeaving();
   /// Applies a copy of this node's record that an earlier process published, or
   /// refutes that this node is gone.
   void restore(const home_record &Copy);
@@ -42,9 +42,12 @@
   awaitable<bool> waitUntilLoaded();
   bool isKnownService(const service_name &Name) const;
   void restoreLeaving(const home_record &Stored);
+  /// Called when the backend server says in an answer that it leaves.
+  void serverLeaves(const worker_start &Start);
   /// Publishes the own record to the home runner and the other nodes.
   void announce();
 
+  asio::io_context &Context;
   const mesh_settings &Settings;
   const worker_protocol &Protocol;
   home_runner &Home;
--- a/src/libchivebeam/routing/passed_notices.cpp
+++ b/src/libchivebeam/routing/passed_notices.cpp
@@ -18,14 +18,15 @@
     return;
   if (IsKnown && Found->second.StartedAtMs < Server.StartedAtMs)
     Found->second = {Server.StartedAtMs, {}, Now};
-  if (!IsKnown && !Notice.RateLimit)
+  if (!IsKnown && !Notice.RateLimit && !Notice.IsLeaving)
     return;
   entry &Entry = Servers[Server.Worker];
   Entry.StartedAtMs = Server.StartedAtMs;
   Entry.At = Now;
   if (!Notice.IsRateLimitInvalid)
     Entry.Notice.RateLimit = Notice.RateLimit;
-  if (!Entry.Notice.RateLimit)
+  Entry.Notice.IsLeaving = Entry.Notice.IsLeaving || Notice.IsLeaving;
+  if (!Entry.Notice.RateLimit && !Entry.Notice.IsLeaving)
     Servers.erase(Server.Worker);
   if (Servers.size() > MaxServers)
     dropOldest();
@@ -47,6 +48,11 @@
              : &Found->second;
 }
 
+bool passed_notices::isLeaving(const worker_start &Server) const {
+  const entry *Entry = find(Server);
+  return Entry && Entry->Notice.IsLeaving;
+}
+
 std::optional<call_rate>
 passed_notices::rateLimit(const worker_start &Server) const {
   const entry *Entry = find(Server);
--- a/src/libchivebeam/routing/passed_notices.h
+++ b/src/libchivebeam/routing/passed_notices.h
@@ -15,6 +15,8 @@
   /// Called for each answer of a start of a backend server.
   void answered(const worker_start &Server, const server_notice &Notice,
                 instant Now);
+  /// True if the server has said that it leaves. This can't be taken back.
+  bool isLeaving(const worker_start &Server) const;
   /// Returns the rate limit that the server last named; empty if none.
   std::optional<call_rate> rateLimit(const worker_start &Server) const;
 
