Answer the calls that are still open when a stopping node ends

The drain loop of the node stops waiting at that time, whatever is open, and deadlines may lie beyond it.

The node now ends what each open call waits for, answers it with what is known (503 if it was not sent, else 502), and exits when the answers are written, at eleven twelfths of the grace time at the latest.

--- a/src/chivebeam/mesh/entry_call.h
+++ b/src/chivebeam/mesh/entry_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <set>
 
 #include "mesh/silent_attempts.h"
@@ -23,6 +24,9 @@
   unsigned HomeNodesAsked = 0;
   instant ArrivedAt;
   std::shared_ptr<silent_attempts> Silent;
+  /// Ends what the call waits for, without a result; empty while it does not
+  /// wait.
+  std::function<void()> Abandon;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -105,14 +105,21 @@
     RetryBudget.callStarted(Entry.Call.Service, Now);
   if (!admit(Entry, Now))
     co_return refuseAtEntry(Entry, "a downstream service is overloaded");
-  ++OpenCalls;
+  OpenCalls.insert(&Entry);
   Entry.Silent = std::make_shared<silent_attempts>(Context.get_executor());
   entry_result Result = co_await runAttempts(Entry, Cancel);
   Entry.Silent->cancel();
-  --OpenCalls;
+  OpenCalls.erase(&Entry);
   co_return Result;
 }
 
+void entry_router::endOpenCalls() {
+  Ending = true;
+  for (entry_call *Entry : OpenCalls)
+    if (Entry->Abandon)
+      Entry->Abandon();
+}
+
 bool entry_router::isQuarantined(entry_call &Entry, instant Now) {
   microseconds Left = State.suspects().refusedFor(Entry.Call.Fingerprint, Now);
   if (Left.count() == 0)
@@ -192,6 +199,8 @@
                                                   cancel_signal Cancel) {
   for (;;) {
     instant Started = currentTime();
+    if (Ending)
+      co_return endAtEntry(Entry, "this node is about to end");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
     const endpoint *Chosen = choose(Entry, Started);
@@ -242,7 +251,8 @@
 awaitable<std::optional<entry_result>>
 entry_router::waitForSilentNodes(entry_call &Entry, cancel_signal Cancel) {
   std::shared_ptr<silent_attempts> Silent = Entry.Silent;
-  if (Silent->Open == 0 && !Silent->FirstAnswer.isSet())
+  bool MayBeAnswered = Silent->Open > 0 && !Ending;
+  if (!MayBeAnswered && !Silent->FirstAnswer.isSet())
     co_return std::nullopt;
   instant Started = currentTime();
   Silent->AwaitsLast = true;
@@ -250,8 +260,13 @@
     Silent->FirstAnswer.set(
         emptyAnswer(attempt_outcome::lost, "the caller is gone"));
   });
+  Entry.Abandon = [Silent] {
+    Silent->FirstAnswer.set(
+        emptyAnswer(attempt_outcome::lost, "this node is about to end"));
+  };
   std::optional<mesh_answer> Answer =
       co_await Silent->FirstAnswer.wait(Entry.Call.Deadline - Started);
+  Entry.Abandon = nullptr;
   Cancel.onRaise(nullptr);
   if (Cancel.raised()) {
     Metrics.count("calls_given_up");
@@ -286,6 +301,10 @@
     Attempt.raise();
     Reply(emptyAnswer(attempt_outcome::lost, "the caller is gone"));
   });
+  Entry.Abandon = [Attempt, Reply] {
+    Attempt.raise();
+    Reply(emptyAnswer(attempt_outcome::lost, "this node is about to end"));
+  };
   mesh_call Call = Entry.Call;
   Call.Worker = Endpoint.Worker;
   Call.UsualDuration = Retries.usualTime(Entry, Endpoint, Now);
@@ -312,6 +331,7 @@
   } else if (Answer && Answer->Silent) {
     Answer = co_await LateAnswer.wait(Entry.Call.Deadline - AnsweredAt);
   }
+  Entry.Abandon = nullptr;
   Cancel.onRaise(nullptr);
   Preparer.versions().callEnded(Entry.Call.Service, Entry.OnNewVersion);
   if (!Answer)
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -53,7 +53,9 @@
   /// and nested calls that the backend server sends meanwhile, continue to
   /// their end.
   void close() { Closed = true; }
-  std::size_t openCalls() const { return OpenCalls; }
+  /// Ends the open calls: each is answered with what is known of it.
+  void endOpenCalls();
+  std::size_t openCalls() const { return OpenCalls.size(); }
   downstream_services &downstream() { return Downstream; }
 
 private:
@@ -107,8 +109,9 @@
   std::map<std::pair<service_name, unsigned>, unsigned> RefusedAtEntry;
   call_log Log;
   std::function<bool()> ConfigMayBeStale = [] { return false; };
-  std::size_t OpenCalls = 0;
+  std::set<entry_call *> OpenCalls;
   bool Closed = false;
+  bool Ending = false; ///< open calls are ended
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -37,8 +37,11 @@
 constexpr milliseconds CallerDrainTime{2'800};
 /// Part of the grace period that is used for draining; the rest is left for the
 /// exit of the process.
-constexpr int UsableGraceParts = 5;
-constexpr int GraceParts = 6;
+constexpr int UsableGraceParts = 10;
+/// Calls that are still open then are answered until this part.
+constexpr int AnswerGraceParts = 11;
+constexpr int GraceParts = 12;
+constexpr milliseconds AnswerCheckInterval{20};
 /// The node stops after no call has been in progress for this time.
 constexpr milliseconds IdleTimeBeforeExit{300};
 /// A suspension of the machine is handled if it lasted at least this long. The
@@ -437,17 +440,31 @@
       break;
     co_await sleepFor(TickInterval);
   }
+  co_await endOpenCalls(Started +
+                        Settings.Grace * AnswerGraceParts / GraceParts);
   log_event("node_stopped")
       .add("node", Settings.Node)
       .add("open_calls", Router.openCalls());
   OnStopped();
 }
 
+awaitable<void> mesh_node::endOpenCalls(instant AnswerDeadline) {
+  if (Router.openCalls() > 0)
+    log_event("open_calls_ended").add("calls", Router.openCalls());
+  Router.endOpenCalls();
+  while (hasBusySession() && currentTime() < AnswerDeadline)
+    co_await sleepFor(AnswerCheckInterval);
+}
+
+bool mesh_node::hasBusySession() const {
+  return std::any_of(
+      OpenSessions.begin(), OpenSessions.end(),
+      [](const caller_session *Session) { return Session->isBusy(); });
+}
+
 bool mesh_node::hasWork() const {
   return Router.openCalls() > 0 || Home.active() > 0 || Hub.isServing() ||
-         std::any_of(
-             OpenSessions.begin(), OpenSessions.end(),
-             [](const caller_session *Session) { return Session->isBusy(); });
+         hasBusySession();
 }
 
 std::string mesh_node::metricsText() {
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -83,6 +83,9 @@
   void awaitSignal();
   void reload(std::string_view Why);
   awaitable<void> stop();
+  /// Answers the calls that are still open; waits until their answers are sent.
+  awaitable<void> endOpenCalls(instant AnswerDeadline);
+  bool hasBusySession() const;
   /// True while calls run, or requests or answers are not transferred
   /// completely.
   bool hasWork() const;
--- a/tests/mesh/lost_calls_test.cpp
+++ b/tests/mesh/lost_calls_test.cpp
@@ -261,4 +261,36 @@
   });
 }
 
+// Guards against a stopping node that closes a caller's connection without an
+// answer when its time is over and the call still waits for a home node.
+BOOST_AUTO_TEST_CASE(a_stopping_node_answers_the_calls_that_are_still_open) {
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"front", "desk"}, 30.0);
+  Mesh.addNode("front");
+  home_stand_in Home(Mesh, "home", "desk");
+  unsigned Received = 0;
+  Home.OnCall = [&](std::uint64_t) { ++Received; };
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await Home.introduceTo(Mesh.node(0));
+    co_await Mesh.until([&] { return Mesh.node(0).knownServers() == 2; });
+    std::vector<unsigned> Statuses;
+    for (std::string Request :
+         {Mesh.get("/desk/1", "read", 20'000),
+          Mesh.post("/pay/desk/1", "payment", "x", 20'000)})
+      asio::co_spawn(
+          Mesh.context(),
+          [&Mesh, &Statuses, Request]() -> awaitable<void> {
+            Statuses.push_back(statusOf(co_await Mesh.call(0, Request)));
+          },
+          asio::detached);
+    co_await Mesh.until([&] { return Received == 2; });
+    Mesh.node(0).beginStop();
+    co_await Mesh.until([&] { return Mesh.stopped(0); });
+    BOOST_REQUIRE(Statuses.size() == 2u);
+    for (unsigned Status : Statuses)
+      BOOST_TEST(Status == 502u);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
