--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <csignal>
 
-#include <time.h>
-
+#include "net/accept_loop.h"
 #include "net/clock.h"
 #include "telemetry/log_event.h"
 #include "telemetry/log_writer.h"
@@ -27,9 +26,6 @@
 constexpr milliseconds OperatorWatchInterval{1'000};
 /// Interval at which a node that is cut off from the store pings some peers.
 constexpr milliseconds PeerPingInterval{300};
-/// Evidence on a move is sent when it changes, and at least at this interval,
-/// since the coordinator does not count older reports as fresh.
-constexpr milliseconds IdleReportInterval{400};
 /// The settings file may change without a signal.
 constexpr milliseconds SettingsCheckInterval{1'000};
 /// Callers check the readiness of a node every second and stop using it after
@@ -50,21 +46,6 @@
 /// Request bodies may use the memory of the process divided by this number.
 constexpr std::uint64_t BodyMemoryDivisor = 4;
 constexpr std::size_t MaxControlBody = 4 << 10;
-/// File descriptors that are reserved for uses other than callers' connections.
-constexpr unsigned ReservedDescriptors = 500;
-constexpr milliseconds AcceptRetryDelay{20};
-
-microseconds clockNow(clockid_t Clock) {
-  timespec Time{};
-  ::clock_gettime(Clock, &Time);
-  return std::chrono::duration_cast<microseconds>(
-      seconds(Time.tv_sec) + std::chrono::nanoseconds(Time.tv_nsec));
-}
-
-/// Returns the total time that this machine has been suspended since it booted.
-microseconds suspendedTime() {
-  return clockNow(CLOCK_BOOTTIME) - clockNow(CLOCK_MONOTONIC);
-}
 
 http_response textResponse(http::status Status, std::string Text) {
   http_response Response(Status, 11);
@@ -93,6 +74,7 @@
               *RequestStore),
       MoveExecutor(Context, *RequestStore, Settings,
                    *Dependencies.DocumentFormat, State, Hub),
+      Evidence(Home, State, MoveExecutor),
       OperatorListener(*Dependencies.DocumentFormat, State, MoveExecutor),
       MeshListener(Membership, MoveExecutor, Registrar),
       OperatorSubscription(*OperatorStore,
@@ -112,9 +94,11 @@
                                               : subscription_mode::off;
                }}),
       Reliance(Settings.FirstStart, std::hash<node_id>()(Settings.Node)),
-      Sessions{Router, *Dependencies.Calls, State, Metrics,
-               body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
-      CallerAcceptor(Context), PeerAcceptor(Context),
+      Callers(Context, Settings,
+              session_context{
+                  Router, *Dependencies.Calls, State, Metrics,
+                  body_budget(Settings.MemoryBytes / BodyMemoryDivisor)}),
+      PeerAcceptor(Context),
       Readiness(Context, MaxControlBody,
                 [this](const http_request &,
                        const address &) -> awaitable<http_response> {
@@ -127,8 +111,7 @@
                      [this](const http_request &,
                             const address &) -> awaitable<http_response> {
                        co_return textResponse(http::status::ok, metricsText());
-                     }),
-      LastSuspendedTime(suspendedTime()) {
+                     }) {
   for (config_store *Store :
        {OperatorStore.get(), MeshStore.get(), RequestStore.get()})
     Store->setEraHandler([this](store_era Era) { State.noteEra(Era); });
@@ -151,8 +134,7 @@
   for (const result<address> &Bound :
        {StoreBoundAddress(Settings.Peers,
                           openAcceptor(PeerAcceptor, Settings.Peers)),
-        StoreBoundAddress(Settings.Callers,
-                          openAcceptor(CallerAcceptor, Settings.Callers)),
+        StoreBoundAddress(Settings.Callers, Callers.listen(Settings.Callers)),
         StoreBoundAddress(Settings.Readiness,
                           Readiness.listen(Settings.Readiness)),
         StoreBoundAddress(Settings.WorkerReports, Workers.listen())})
@@ -183,12 +165,7 @@
   asio::co_spawn(Context, Registrar.run(), asio::detached);
   asio::co_spawn(Context, Workers.load(), asio::detached);
   asio::co_spawn(Context, tickLoop(), asio::detached);
-  asio::co_spawn(Context,
-                 acceptLoop(CallerAcceptor,
-                            [this](tcp::socket Socket) {
-                              openSession(std::move(Socket));
-                            }),
-                 asio::detached);
+  Callers.start();
   asio::co_spawn(Context,
                  acceptLoop(PeerAcceptor,
                             [this](tcp::socket Socket) {
@@ -213,42 +190,6 @@
 
 bool mesh_node::isReady() const { return !Stopping && State.hasConfig(); }
 
-awaitable<void> mesh_node::acceptLoop(tcp::acceptor &Acceptor,
-                                      accept_handler Handler) {
-  while (Acceptor.is_open()) {
-    error_code Code;
-    tcp::socket Socket = co_await Acceptor.async_accept(orError(Code));
-    if (Code == asio::error::operation_aborted)
-      co_return;
-    if (!Code) {
-      Handler(std::move(Socket));
-      continue;
-    }
-    log_event("accept_failed").add("error", Code.message());
-    co_await sleepFor(AcceptRetryDelay);
-  }
-}
-
-void mesh_node::openSession(tcp::socket Socket) {
-  error_code Ignored;
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  // A new call has priority over an idle connection, so idle ones are closed to
-  // free descriptors.
-  if (OpenSessions.size() + ReservedDescriptors >= Settings.MaxDescriptors) {
-    Metrics.count("sessions_crowded");
-    for (caller_session *Session : OpenSessions)
-      Session->closeIfIdle();
-  }
-  asio::co_spawn(Context, runSession(std::move(Socket)), asio::detached);
-}
-
-awaitable<void> mesh_node::runSession(tcp::socket Socket) {
-  caller_session Session(Sessions, std::move(Socket));
-  OpenSessions.insert(&Session);
-  co_await Session.run();
-  OpenSessions.erase(&Session);
-}
-
 void mesh_node::viewChanged() {
   std::vector<home_record> Others = State.knownRecords();
   std::erase_if(Others, [this](const home_record &Record) {
@@ -258,11 +199,7 @@
   Router.viewChanged();
   if (!State.view())
     return;
-  milliseconds IdleTimeout = State.view()->Config->callerLimits().IdleTimeout;
-  if (std::exchange(IdleTimeoutInForce, IdleTimeout) == IdleTimeout)
-    return;
-  for (caller_session *Session : OpenSessions)
-    Session->extendIdleTime();
+  Callers.setIdleTimeout(State.view()->Config->callerLimits().IdleTimeout);
 }
 
 awaitable<void> mesh_node::tickLoop() {
@@ -289,7 +226,7 @@
   }
   Home.setDownstream(Router.downstream().refusals(Now),
                      Router.downstream().retryBudgetUsage(Now));
-  reportEvidence(Now);
+  Evidence.tick(Now);
   MoveExecutor.tick(Now);
 }
 
@@ -348,9 +285,7 @@
 }
 
 void mesh_node::checkSuspension() {
-  microseconds Suspended = suspendedTime();
-  microseconds NewlySuspended = Suspended - LastSuspendedTime;
-  LastSuspendedTime = Suspended;
+  microseconds NewlySuspended = Suspension.takeNew();
   if (NewlySuspended < MinSuspension)
     return;
   log_event("suspended").add("for_ms", NewlySuspended.count() / 1'000);
@@ -358,18 +293,6 @@
   MeshSubscription.refresh();
 }
 
-void mesh_node::reportEvidence(instant Now) {
-  // Reports are sent without calls, too, since they show that the node of this
-  // version is alive.
-  if (Home.evidence() == ReportedEvidence &&
-      Now < ReportedAt + IdleReportInterval)
-    return;
-  ReportedEvidence = Home.evidence();
-  ReportedAt = Now;
-  const worker_record Own = State.ownRecord().Worker;
-  MoveExecutor.sendEvidence(Own.Service, Own.Version, ReportedEvidence);
-}
-
 void mesh_node::awaitSignal() {
   Signals.async_wait([this](error_code Code, int Number) {
     if (Code)
@@ -405,7 +328,7 @@
   if (Stopping)
     return;
   Stopping = true;
-  Sessions.Draining = true;
+  Callers.beginDraining();
   MoveExecutor.resign();
   Registrar.resign();
   log_event("node_stopping")
@@ -428,8 +351,7 @@
   Home.stop();
   instant IdleSince;
   while (currentTime() < StopDeadline) {
-    for (caller_session *Session : OpenSessions)
-      Session->closeIfIdle();
+    Callers.closeIdle();
     instant Now = currentTime();
     bool IsIdle = !hasWork();
     if (!IsIdle)
@@ -452,19 +374,13 @@
   if (Router.openCalls() > 0)
     log_event("open_calls_ended").add("calls", Router.openCalls());
   Router.endOpenCalls();
-  while (hasBusySession() && currentTime() < AnswerDeadline)
+  while (Callers.isBusy() && currentTime() < AnswerDeadline)
     co_await sleepFor(AnswerCheckInterval);
 }
 
-bool mesh_node::hasBusySession() const {
-  return std::any_of(
-      OpenSessions.begin(), OpenSessions.end(),
-      [](const caller_session *Session) { return Session->isBusy(); });
-}
-
 bool mesh_node::hasWork() const {
   return Router.openCalls() > 0 || Home.active() > 0 || Hub.isServing() ||
-         hasBusySession();
+         Callers.isBusy();
 }
 
 std::string mesh_node::metricsText() {
@@ -473,7 +389,7 @@
   Metrics.set("home_waiting", Load.Waiting);
   Metrics.set("home_limit", Load.Limit);
   Metrics.set("open_calls", static_cast<double>(Router.openCalls()));
-  Metrics.set("open_sessions", static_cast<double>(OpenSessions.size()));
+  Metrics.set("open_sessions", static_cast<double>(Callers.openSessions()));
   Metrics.set("is_watcher", Registrar.isWatcher() ? 1 : 0);
   Metrics.set("on_standby", OnStandby ? 1 : 0);
   instant Now = currentTime();
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <set>
-
 #include <boost/asio/signal_set.hpp>
 
 #include "membership/watcher_reliance.h"
-#include "mesh/caller_session.h"
+#include "mesh/caller_listener.h"
+#include "mesh/evidence_reporter.h"
 #include "mesh/peer_session.h"
 #include "mesh/store_listeners.h"
 #include "mesh/worker_report_handler.h"
+#include "net/suspension_clock.h"
 
 namespace chivebeam {
 
@@ -56,12 +56,7 @@
   std::size_t knownServers() const;
 
 private:
-  using accept_handler = std::function<void(tcp::socket)>;
-
   result<void> listen();
-  awaitable<void> acceptLoop(tcp::acceptor &Acceptor, accept_handler Handler);
-  void openSession(tcp::socket Socket);
-  awaitable<void> runSession(tcp::socket Socket);
   awaitable<void> tickLoop();
   void tick(instant Now);
   void checkSuspension();
@@ -78,14 +73,12 @@
   void checkStandby(instant Now);
   /// Updates what depends on whether this node or a watcher reads the store.
   void checkStoreAccess(instant Now);
-  void reportEvidence(instant Now);
   void viewChanged();
   void awaitSignal();
   void reload(std::string_view Why);
   awaitable<void> stop();
   /// Answers the calls that are still open; waits until their answers are sent.
   awaitable<void> endOpenCalls(instant AnswerDeadline);
-  bool hasBusySession() const;
   /// True while calls run, or requests or answers are not transferred
   /// completely.
   bool hasWork() const;
@@ -107,24 +100,20 @@
   watcher_registrar Registrar;
   worker_report_handler Workers;
   move_executor MoveExecutor;
+  evidence_reporter Evidence;
   operator_listener OperatorListener;
   mesh_listener MeshListener;
   store_subscription OperatorSubscription;
   store_subscription MeshSubscription;
   watcher_reliance Reliance;
   bool OnStandby = false;
-  session_context Sessions;
-  tcp::acceptor CallerAcceptor;
+  caller_listener Callers;
   tcp::acceptor PeerAcceptor;
   http_service Readiness;
   http_service MetricsService;
-  std::set<caller_session *> OpenSessions;
-  milliseconds IdleTimeoutInForce{0}; ///< of callers' connections
-  evidence_by_route ReportedEvidence;
-  instant ReportedAt;
   instant PeersPingedAt;
   instant SettingsCheckedAt;
-  microseconds LastSuspendedTime{0};
+  suspension_clock Suspension;
   stop_handler OnStopped;
   bool Stopping = false;
 };
