Replace a link between nodes that has gone silent for good

A link noticed this only when a ping had no answer for 600 ms, near the deadlines, and new calls went on into the silent connection.

A link with open calls whose ping has no answer for 150 ms is now replaced: the node opens another connection, which new calls use. Once the other node is heard on it, reads that wait on the silent one may be sent elsewhere; they still accept a late answer, and other calls wait on, so a slow or suspended node, which is not heard, changes nothing. Each connection is replaced at most once a second; without a suspect link nothing more is sent. The stand-in of the test answers a call on the connection that brought it, as nodes do.

The new test failed before: the node opened no other connection.

--- a/src/chivebeam/mesh/peer_hub.cpp
+++ b/src/chivebeam/mesh/peer_hub.cpp
@@ -140,9 +140,40 @@
   }
 }
 
+void peer_hub::replaceSuspectLinks(instant Now) {
+  for (auto &[Node, Link] : Links) {
+    auto Known = Addresses.find(Node);
+    if (!Link->isSuspect(Now) || Known == Addresses.end())
+      continue;
+    Link->setKept(false);
+    Replaced.push_back({Node, Link});
+    Link = std::make_shared<peer_link>(Context, Node, Known->second, PeerState);
+    Link->setKept(SubscribedTo.contains(Node));
+    Link->ping();
+  }
+}
+
+void peer_hub::checkReplacedLinks(instant Now) {
+  for (const auto &[Node, Link] : Replaced) {
+    Link->tick(Now);
+    auto Successor = Links.find(Node);
+    if (Link->isOpen() && Successor != Links.end() &&
+        Successor->second->hasHeardPeer())
+      Link->handleSilence(Now);
+  }
+  std::erase_if(Replaced, [](const replaced_link &Item) {
+    bool IsDone = !Item.Link->hasOpenCalls();
+    if (IsDone)
+      Item.Link->close();
+    return IsDone;
+  });
+}
+
 void peer_hub::tick(instant Now) {
   for (auto &[Node, Link] : Links)
     Link->tick(Now);
+  replaceSuspectLinks(Now);
+  checkReplacedLinks(Now);
   std::erase_if(Sessions, [](const auto &Weak) { return Weak.expired(); });
   for (const std::weak_ptr<peer_session> &Weak : Sessions)
     if (auto Session = Weak.lock())
--- a/src/chivebeam/mesh/peer_hub.h
+++ b/src/chivebeam/mesh/peer_hub.h
@@ -57,6 +57,18 @@
   bool isServing() const;
 
 private:
+  /// A link that another one to the same node has replaced. It stays while
+  /// calls wait for answers on it.
+  struct replaced_link {
+    node_id Node;
+    std::shared_ptr<peer_link> Link;
+  };
+
+  /// Opens another connection beside each one that may have gone silent for
+  /// good. New calls use it, and once the node has been heard on it, reads that
+  /// wait on the silent one may be sent again.
+  void replaceSuspectLinks(instant Now);
+  void checkReplacedLinks(instant Now);
   /// Returns the link to a node, which is created if there is none; null if the
   /// node is unknown.
   peer_link *linkTo(const node_id &Node);
@@ -70,6 +82,7 @@
   peer_protocol Protocol;
   std::map<node_id, address> Addresses;
   std::map<node_id, std::shared_ptr<peer_link>> Links;
+  std::vector<replaced_link> Replaced;
   std::set<node_id> SubscribedTo;
   std::vector<std::weak_ptr<peer_session>> Sessions;
   std::size_t NextPingedPeer = 0;
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -23,6 +23,10 @@
 constexpr milliseconds PingAfter{150};
 constexpr milliseconds SilenceLimit{600};
 constexpr milliseconds SendingLimit{2'000};
+/// A connection may have gone silent for good after a ping had no answer for
+/// this time. It is tried with another one, at most once in MinOpenTime.
+constexpr milliseconds SuspectAfter{150};
+constexpr milliseconds MinOpenTime{1'000};
 /// Interval of pings on a kept link. They carry the digest of the records.
 constexpr milliseconds KeptPingInterval{1'000};
 /// A link that is not kept is closed after this time without use, and a failed
@@ -72,6 +76,7 @@
   Backoff = microseconds(0);
   Failed = false;
   PingPending = false;
+  OpenedAt = currentTime();
   configurePeerSocket(*Socket);
   Channel = std::make_shared<frame_channel>(std::move(*Socket));
   std::weak_ptr<peer_link> Weak = Self;
@@ -200,6 +205,7 @@
 void peer_link::onFrame(peer_frame Frame) {
   PingPending = false;
   Silent = false;
+  HeardPeer = true;
   PeerState.nodeAnswered(Node);
   if (Protocol.handle(Frame, Node, *Channel))
     return;
@@ -275,6 +281,11 @@
   Channel->close();
 }
 
+bool peer_link::isSuspect(instant Now) const {
+  return isOpen() && hasOpenCalls() && PingPending && !Channel->isSending() &&
+         Now >= PingSentAt + SuspectAfter && Now >= OpenedAt + MinOpenTime;
+}
+
 void peer_link::tick(instant Now) {
   if (!isOpen()) {
     if (Opening && !mayOpenSoon(Now))
--- a/src/chivebeam/mesh/peer_link.h
+++ b/src/chivebeam/mesh/peer_link.h
@@ -35,6 +35,15 @@
   bool isOpen() const { return Channel && Channel->isOpen(); }
   /// True while calls wait for their answers.
   bool hasOpenCalls() const { return !Pending.empty(); }
+  /// True if calls wait and the connection may have gone silent for good: a
+  /// ping has no answer for a while. The node may also be slow or suspended.
+  bool isSuspect(instant Now) const;
+  /// True if the peer has sent something on this connection.
+  bool hasHeardPeer() const { return HeardPeer; }
+  /// Handles a peer that has not answered a ping in time. Calls that were not
+  /// sent fail. The others wait on, since the peer may only be suspended, and
+  /// the senders of idempotent ones are told. Without calls the link is closed.
+  void handleSilence(instant Now);
   /// Keeps the link open and subscribed to the peer's state, or stops doing so.
   void setKept(bool IsKept);
   /// Reopens a lost link, detects a silent peer and closes an idle link. Must
@@ -63,10 +72,6 @@
   void onFrame(peer_frame Frame);
   void onClosed();
   void failPending(std::string_view Reason);
-  /// Handles a peer that has not answered a ping in time. Calls that were not
-  /// sent fail. The others wait on, since the peer may only be suspended, and
-  /// the senders of idempotent ones are told.
-  void handleSilence(instant Now);
   void fail(pending_call &Waiting, std::string_view Reason);
   void sendCall(std::uint64_t Number, pending_call &Pending);
   void sendBody(std::uint64_t Number);
@@ -87,6 +92,8 @@
   microseconds Backoff{0};
   instant PingSentAt;
   bool PingPending = false;
+  instant OpenedAt;
+  bool HeardPeer = false;
   bool Kept = false;
   bool Failed =
       false; ///< the last attempt to open the link failed, or it broke
--- a/tests/mesh/lost_calls_test.cpp
+++ b/tests/mesh/lost_calls_test.cpp
@@ -39,21 +39,22 @@
     BOOST_REQUIRE(!Code);
     Introduction = std::make_shared<frame_channel>(std::move(Socket));
     Introduction->start([](peer_frame) {}, [] {});
-    peer_frame Hello;
-    Hello.Kind = frame_kind::hello;
-    Hello.Records.push_back(Record);
-    Introduction->send(Hello);
+    Introduction->send(hello());
   }
   void answer(std::uint64_t Call, mesh_answer Answer) {
     peer_frame Reply;
     Reply.Kind = frame_kind::answer;
     Reply.Call = Call;
     Reply.Answer = std::move(Answer);
-    Channel->send(Reply);
+    Channels[ChannelOf.at(Call)]->send(Reply);
   }
 
   call_handler OnCall;
   std::size_t Cancelled = 0;
+  bool Greets = false; ///< sends its record on new connections
+  /// Frames on earlier connections are ignored, as if these were silent.
+  std::size_t FirstAlive = 0;
+  std::size_t connections() const { return Channels.size(); }
 
 private:
   awaitable<void> acceptLoop() {
@@ -62,21 +63,35 @@
       tcp::socket Socket = co_await Acceptor.async_accept(orError(Code));
       if (Code)
         co_return;
-      Channel = std::make_shared<frame_channel>(std::move(Socket));
-      Channel->start(
-          [this](peer_frame Frame) {
-            if (Frame.Kind == frame_kind::call)
+      std::size_t Index = Channels.size();
+      Channels.push_back(std::make_shared<frame_channel>(std::move(Socket)));
+      Channels.back()->start(
+          [this, Index](peer_frame Frame) {
+            if (Index < FirstAlive)
+              return;
+            if (Frame.Kind == frame_kind::call) {
+              ChannelOf[Frame.Call] = Index;
               OnCall(Frame.Call);
+            }
             Cancelled += Frame.Kind == frame_kind::cancel ? 1 : 0;
           },
           [] {});
+      if (Greets)
+        Channels.back()->send(hello());
     }
   }
+  peer_frame hello() const {
+    peer_frame Hello;
+    Hello.Kind = frame_kind::hello;
+    Hello.Records.push_back(Record);
+    return Hello;
+  }
 
   tcp::acceptor Acceptor;
   home_record Record;
   std::shared_ptr<frame_channel> Introduction;
-  std::shared_ptr<frame_channel> Channel;
+  std::vector<std::shared_ptr<frame_channel>> Channels;
+  std::map<std::uint64_t, std::size_t> ChannelOf; ///< by call number
 };
 
 mesh_answer okAnswer() {
@@ -293,4 +308,49 @@
   });
 }
 
+// Guards against reads that run into their deadlines on a connection that has
+// gone silent for good, while new connections to the same node work.
+BOOST_AUTO_TEST_CASE(a_read_on_a_connection_that_went_silent_is_sent_again) {
+  constexpr unsigned Calls = 6;
+  constexpr int DeadlineMs = 600;
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"front", "desk"}, 5.0);
+  Mesh.addNode("front");
+  home_stand_in Severed(Mesh, "severed", "desk");
+  home_stand_in Other(Mesh, "other", "desk");
+  unsigned Answered = 0;
+  for (home_stand_in *Home : {&Severed, &Other}) {
+    Home->Greets = true;
+    Home->OnCall = [&Answered, Home](std::uint64_t Call) {
+      ++Answered;
+      Home->answer(Call, okAnswer());
+    };
+  }
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await Severed.introduceTo(Mesh.node(0));
+    co_await Other.introduceTo(Mesh.node(0));
+    co_await Mesh.until([&] { return Mesh.node(0).knownServers() == 3; });
+    unsigned Warm = 0;
+    while (Severed.connections() == 0 || Other.connections() == 0)
+      co_await Mesh.call(0, Mesh.get("/desk/1", "w" + std::to_string(++Warm)));
+    co_await Mesh.pause(milliseconds(1'200));
+    Severed.FirstAlive = Severed.connections();
+    std::vector<unsigned> Statuses;
+    for (unsigned Call = 0; Call < Calls; ++Call)
+      asio::co_spawn(
+          Mesh.context(),
+          [&Mesh, &Statuses, Call]() -> awaitable<void> {
+            auto Answer = co_await Mesh.call(
+                0, Mesh.get("/desk/1", "r" + std::to_string(Call), DeadlineMs));
+            Statuses.push_back(statusOf(Answer));
+          },
+          asio::detached);
+    co_await Mesh.until([&] { return Statuses.size() == Calls; });
+    for (unsigned Status : Statuses)
+      BOOST_TEST(Status == 200u);
+    BOOST_TEST(Severed.connections() > Severed.FirstAlive);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
