--- a/src/chivebeam/mesh/caller_listener.h
+++ b/src/chivebeam/mesh/caller_listener.h
@@ -14,8 +14,8 @@
 public:
   /// \pre Context, Settings and what Sessions refers to outlive the listener.
   caller_listener(asio::io_context &Context, const mesh_settings &Settings,
-                  session_context Sessions)
-      : Context(Context), Settings(Settings), Sessions(std::move(Sessions)),
+                  const session_context &Sessions)
+      : Context(Context), Settings(Settings), Sessions(Sessions),
         Acceptor(Context) {}
 
   /// Binds the address; the kernel chooses a port for port 0.
--- a/tests/mesh/lost_calls_test.cpp
+++ b/tests/mesh/lost_calls_test.cpp
@@ -290,7 +290,7 @@
     co_await Home.introduceTo(Mesh.node(0));
     co_await Mesh.until([&] { return Mesh.node(0).knownServers() == 2; });
     std::vector<unsigned> Statuses;
-    for (std::string Request :
+    for (const std::string &Request :
          {Mesh.get("/desk/1", "read", 20'000),
           Mesh.post("/pay/desk/1", "payment", "x", 20'000)})
       asio::co_spawn(
@@ -331,9 +331,9 @@
     co_await Severed.introduceTo(Mesh.node(0));
     co_await Other.introduceTo(Mesh.node(0));
     co_await Mesh.until([&] { return Mesh.node(0).knownServers() == 3; });
-    unsigned Warm = 0;
-    while (Severed.connections() == 0 || Other.connections() == 0)
-      co_await Mesh.call(0, Mesh.get("/desk/1", "w" + std::to_string(++Warm)));
+    for (unsigned Warm = 0;
+         Severed.connections() == 0 || Other.connections() == 0; ++Warm)
+      co_await Mesh.call(0, Mesh.get("/desk/1", "w" + std::to_string(Warm)));
     co_await Mesh.pause(milliseconds(1'200));
     Severed.FirstAlive = Severed.connections();
     std::vector<unsigned> Statuses;
--- a/tests/mesh/server_leaving_test.cpp
+++ b/tests/mesh/server_leaving_test.cpp
@@ -41,8 +41,9 @@
       co_await callDesk(Node);
   }
   awaitable<unsigned> callDesk(std::size_t Node) {
-    co_return statusOf(
-        co_await call(Node, get("/desk/1", "c" + std::to_string(++NextId))));
+    std::string Id = "c" + std::to_string(NextId);
+    ++NextId;
+    co_return statusOf(co_await call(Node, get("/desk/1", Id)));
   }
   /// Sends calls to each node; returns how many reached the first server.
   awaitable<std::size_t> callsAtFirstServer() {
--- a/tests/mesh/server_rate_limit_test.cpp
+++ b/tests/mesh/server_rate_limit_test.cpp
@@ -50,8 +50,9 @@
   }
   awaitable<void> sendCall(std::size_t Node) {
     instant Started = currentTime();
-    auto Answer = co_await call(
-        Node, get("/desk/1", "c" + std::to_string(++NextId), DeadlineMs));
+    std::string Id = "c" + std::to_string(NextId);
+    ++NextId;
+    auto Answer = co_await call(Node, get("/desk/1", Id, DeadlineMs));
     ++Answers[statusOf(Answer)];
     LongestCall = std::max(LongestCall, currentTime() - Started);
     --Open;
