Review case 1: after a drill of the store, a completed rollout is begun again

Disruptions: the store comes back from a copy 3 s old in the next era; 4 s later all nodes are killed and started again.

A server that was acknowledged as gone (DRAIN): its stand-in didn't say Server-Leaving in its answers, as a server that leaves does; with it one request reaches the server.

--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -88,6 +88,11 @@
   std::string value(const std::string &Key) const;
   /// While it is away, connections are reset and nothing is done.
   void setAway(bool IsAway);
+  /// Keeps a copy of all items.
+  void saveCopy();
+  /// Comes back from the copy: later writes and all leases are gone, revisions
+  /// go back and the era rises.
+  void restoreCopy();
 
 private:
   struct item {
@@ -130,6 +135,9 @@
   std::map<std::uint64_t, lease> Leases;
   std::uint64_t Revision = 1;
   std::uint64_t NextLease = 100;
+  std::uint64_t Era = 1;
+  std::map<std::string, item> CopiedItems;
+  std::uint64_t CopiedRevision = 1;
   bool Away = false;
 };
 
@@ -155,9 +163,12 @@
 
   std::string Id;
   std::string Service;
+  std::string Version = "v1";
   std::int64_t StartedAtMs = 0;
   script Script;
   unsigned Starts = 0;
+  /// True once it has said that it leaves; its answers say so too.
+  bool Leaving = false;
 
 private:
   awaitable<void> accept(std::shared_ptr<tcp::acceptor> Acceptor);
