--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -43,7 +43,7 @@
     Request.Method = "POST";
     Request.Host = "photos.example";
     Request.Path = "/photo/1";
-    Request.DeadlineMs = 2500;
+    Request.DeadlineMs = 1200;
     Request.Id = Id;
     Request.Body.assign(Bytes, 'p');
     outcome Out = co_await sendRequest(Node.Outbound, std::move(Request));
