Note calls whose server ends while it answers

Cause: worker_connection took a call for broken only if no byte of an answer had been read. Ruled out: news that is lost between nodes (the same fleet refuses a request whose servers end before a byte), and a new start that hides the end.

Change: classifyExchange decides how an exchange ended from how the bytes of the answer ended and whether this node gave the call up. Every close by the server, at whichever byte, is checked as before: the port refuses, or a new start reports. A call that this node gave up (deadline, caller left) counts if its server is found gone within a second.

Measured: crashing_answer failed in all of its cases before the change (status line, field, body, chunk, after an interim answer, after another answer, after the deadline, after the caller left) and passes with it.

--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -252,28 +252,32 @@
   co_return Runs;
 }
 
-awaitable<void> home_runner::checkBroken(const mesh_call &Call,
-                                         worker_start Start) {
-  Broken.add(Call.Fingerprint, Start, currentTime());
+awaitable<bool> home_runner::checkServerGone(worker_start Start) {
   // Another call's check may have found the server gone, or it has been
   // replaced.
-  if (Connections.isServerGone(Start))
-    co_return serverEnded(Start, currentTime());
-  if (auto Connection = co_await Connections.open())
-    Connections.giveBack(std::move(Connection));
+  if (!Connections.isServerGone(Start))
+    if (auto Connection = co_await Connections.open())
+      Connections.giveBack(std::move(Connection));
+  bool IsGone = Connections.isServerGone(Start);
+  if (IsGone)
+    serverEnded(Start, currentTime());
+  co_return IsGone;
+}
+
+awaitable<void> home_runner::checkServerEnd(const mesh_call &Call,
+                                            worker_start Start,
+                                            mesh_answer &Answer) {
+  Broken.add(Call.Fingerprint, Start, currentTime());
+  bool IsGone = co_await checkServerGone(Start);
+  if (IsGone)
+    Answer.EndedServer = Start;
 }
 
-awaitable<void> home_runner::recordEnd(const mesh_call &Call,
-                                       const worker_start &Start, bool IsBroken,
-                                       mesh_answer &Answer) {
+void home_runner::recordAnswer(const mesh_call &Call,
+                               const mesh_answer &Answer) {
   if (Answer.Outcome == attempt_outcome::answered &&
       Suspects.suspects().isSuspect(Call.Fingerprint))
     Suspects.suspectsObserved({{Call.Fingerprint, {}, currentTime()}});
-  if (!IsBroken)
-    co_return;
-  co_await checkBroken(Call, Start);
-  if (Connections.isServerGone(Start))
-    Answer.EndedServer = Start;
 }
 
 void home_runner::serverEnded(const worker_start &Start, instant Now) {
@@ -332,7 +336,12 @@
   RunningRetries.erase(Call.Id);
   if (Answer.Status > 0)
     applyNotice(Start, Answer.Notice, Now, Ended);
-  co_await recordEnd(Call, Start, Connection->brokeWithoutAnswer(), Answer);
+  exchange_outcome End = Connection->lastEnd();
+  if (End == exchange_outcome::given_up)
+    Broken.addGivenUp(Call.Fingerprint, Start, Ended);
+  if (End == exchange_outcome::server_closed)
+    co_await checkServerEnd(Call, Start, Answer);
+  recordAnswer(Call, Answer);
   Connections.giveBack(std::move(Connection));
   Answer.RunTime = Ended - Now;
   recordResult(*Job, Answer, Ended);
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -87,12 +87,15 @@
   awaitable<void> serve(job_ptr Job);
   awaitable<bool> waitForSlot(job_ptr Job);
   awaitable<void> runOnWorker(job_ptr Job);
-  /// Connects to the backend server after a call's connection broke, which
-  /// shows whether the server is gone.
-  awaitable<void> checkBroken(const mesh_call &Call, worker_start Start);
-  /// Updates what is known of the call after an attempt to run it.
-  awaitable<void> recordEnd(const mesh_call &Call, const worker_start &Start,
-                            bool IsBroken, mesh_answer &Answer);
+  /// Connects to the backend server after the server closed a call's
+  /// connection; returns whether the server is gone.
+  awaitable<bool> checkServerGone(worker_start Start);
+  /// Checks whether the backend server ended under a call whose connection it
+  /// closed.
+  awaitable<void> checkServerEnd(const mesh_call &Call, worker_start Start,
+                                 mesh_answer &Answer);
+  /// Clears a suspected call that was answered.
+  void recordAnswer(const mesh_call &Call, const mesh_answer &Answer);
   /// Called when this start of the backend server is known to be gone.
   void serverEnded(const worker_start &Start, instant Now);
   bool isForCurrentWorker(const mesh_call &Call) const;
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -38,6 +38,16 @@
   return Head.append("\r\n");
 }
 
+/// Returns what an error says about the end of an answer. Any error of the
+/// connection itself counts as its end.
+answer_end endOf(const error_code &Code) {
+  bool IsHttpError = Code.category() ==
+                     http::make_error_code(http::error::bad_value).category();
+  bool IsClosed = !IsHttpError || Code == http::error::end_of_stream ||
+                  Code == http::error::partial_message;
+  return IsClosed ? answer_end::closed : answer_end::invalid;
+}
+
 } // namespace
 
 worker_connection::worker_connection(tcp::socket WorkerSocket)
@@ -100,9 +110,10 @@
     Parser.skip(Call.Method == "HEAD");
     error_code Code;
     co_await http::async_read(Socket, Buffer, Parser, orError(Code));
-    AnyByteRead = AnyByteRead || Parser.got_some();
-    if (Code)
+    if (Code) {
+      AnswerEnd = endOf(Code);
       co_return lostAnswer(Code);
+    }
     http::response<http::string_body> Response = Parser.release();
     if (Response.result_int() < 200) {
       ++Interim;
@@ -118,6 +129,8 @@
       continue;
     }
     parseKeepAlive(Response.base());
+    AnswerEnd =
+        Parser.need_eof() ? answer_end::until_close : answer_end::complete;
     if (!Response.keep_alive() || Response.need_eof())
       Reusable = false;
     Answer.Body =
@@ -126,17 +139,25 @@
     Answer.Notice = Protocol.noticeIn(Answer.Fields);
     co_return Answer;
   }
+  AnswerEnd = answer_end::invalid;
   co_return emptyAnswer(
       attempt_outcome::lost,
       "the backend server sent only interim answers or answers to other calls");
 }
 
+void worker_connection::finishExchange(const mesh_answer &Answer,
+                                       bool IsCancelled) {
+  End = classifyExchange({AnswerEnd, TimedOut || IsCancelled});
+  if (Answer.Status == 0 || !SendDone || Buffer.size() > 0 || TimedOut)
+    close();
+  IdleSince = currentTime();
+}
+
 awaitable<mesh_answer>
 worker_connection::exchange(const mesh_call &Call, const header_list &Fields,
                             const call_protocol &Protocol, instant Until,
                             const cancel_signal &Cancel) {
   std::shared_ptr<worker_connection> Self = shared_from_this();
-  AnyByteRead = false;
   auto Executor = co_await asio::this_coro::executor;
   asio::steady_timer Timer(Executor, Until - currentTime());
   Timer.async_wait([Self](error_code Code) {
@@ -156,10 +177,7 @@
   mesh_answer Answer = co_await readAnswer(Call, Protocol);
   Cancel.onRaise(nullptr);
   Timer.cancel();
-  Broken = Answer.Status == 0 && !AnyByteRead && !TimedOut && !Cancel.raised();
-  if (Answer.Status == 0 || !SendDone || Buffer.size() > 0 || TimedOut)
-    close();
-  IdleSince = currentTime();
+  finishExchange(Answer, Cancel.raised());
   co_return Answer;
 }
 
--- a/src/chivebeam/mesh/worker_connection.h
+++ b/src/chivebeam/mesh/worker_connection.h
@@ -2,6 +2,7 @@
 
 #include "mesh/call_protocol.h"
 #include "mesh/cancel_signal.h"
+#include "routing/exchange_outcome.h"
 
 namespace chivebeam {
 
@@ -24,9 +25,8 @@
   bool isIdle();
   /// True if the connection may carry another call.
   bool reusable() const { return Reusable; }
-  /// True if the other side ended the connection during the last exchange and
-  /// before any byte of an answer.
-  bool brokeWithoutAnswer() const { return Broken; }
+  /// Returns how the last exchange ended.
+  exchange_outcome lastEnd() const { return End; }
   void close();
 
   /// Time when the last answer was complete.
@@ -43,6 +43,8 @@
                                     const call_protocol &Protocol);
   void parseKeepAlive(const http::fields &Fields);
   mesh_answer lostAnswer(const error_code &Code) const;
+  /// Sets how the exchange ended, after the answer was read or given up.
+  void finishExchange(const mesh_answer &Answer, bool IsCancelled);
 
   tcp::socket Socket;
   beast::flat_buffer Buffer;
@@ -50,8 +52,8 @@
   bool SendDone = true;
   bool SendFailed = false;
   bool TimedOut = false;
-  bool AnyByteRead = false;
-  bool Broken = false;
+  answer_end AnswerEnd = answer_end::closed;
+  exchange_outcome End = exchange_outcome::answered;
 };
 
 /// Result of an attempt to connect to a backend server.
--- a/src/libchivebeam/routing/broken_calls.h
+++ b/src/libchivebeam/routing/broken_calls.h
@@ -7,14 +7,17 @@
 
 namespace chivebeam {
 
-/// Calls whose connection to the backend server ended without an answer. They
-/// ran when the server ended if the server turns out to be gone shortly after;
-/// otherwise only their connections were lost. Not thread safe.
+/// Calls without a whole answer: the backend server closed their connection, or
+/// this node gave them up. They ran when the server ended if the server turns
+/// out to be gone shortly after. Not thread safe.
 class broken_calls {
 public:
-  /// Notes a call that was sent to this start of the backend server.
+  /// Notes a call whose connection this start of the backend server closed.
   void add(call_fingerprint Fingerprint, const worker_start &Start,
            instant Now);
+  /// Notes a call that this node gave up while the backend server ran it.
+  void addGivenUp(call_fingerprint Fingerprint, const worker_start &Start,
+                  instant Now);
   /// Called when this start of the backend server is known to be gone. Returns
   /// the calls that ran when it ended, each once, and forgets them.
   std::vector<call_fingerprint> takeEnded(const worker_start &Start,
@@ -24,9 +27,11 @@
   struct broken_call {
     call_fingerprint Fingerprint;
     worker_start Start;
-    instant At;
+    instant ConfirmUntil; ///< a later end of the server is another matter
   };
 
+  void note(const broken_call &Call, instant Now);
+
   std::vector<broken_call> Calls;
 };
 
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -16,8 +16,6 @@
 
 constexpr seconds TestTimeout{60};
 constexpr seconds ConditionLimit{20};
-/// A crashing request ends its server after this time.
-constexpr milliseconds CrashDelay{10};
 constexpr milliseconds RestartTime{500};
 const address AnyPort{"127.0.0.1", 0};
 
@@ -99,8 +97,10 @@
       if (Worker.Script.Delay.count() > 0)
         co_await sleepFor(Worker.Script.Delay);
       if (Worker.Script.Crashes && Worker.Script.Crashes(*Request)) {
-        co_await sleepFor(CrashDelay);
+        co_await sleepFor(Worker.Script.CrashDelay);
         // It may have ended under another request meanwhile.
+        if (Socket.is_open() && Worker.Script.CrashBytes)
+          co_await write(Socket, Worker.Script.CrashBytes(*Request));
         if (Socket.is_open())
           asio::co_spawn(*Context, crashServer(Index), asio::detached);
       }
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -16,6 +16,10 @@
   milliseconds Delay{0};
   /// If set and true for a request, the server crashes while it runs it.
   std::function<bool(const http::request<http::string_body> &)> Crashes;
+  /// Returns what the server sends before it crashes; nothing if not set.
+  std::function<std::string(const http::request<http::string_body> &)>
+      CrashBytes;
+  milliseconds CrashDelay{10}; ///< from the request to the crash
 };
 
 /// A backend server of the platform, as nodes see it.
