Check for the server's end when an answer has no length

Callers: an answer without a length ends with its connection. If the server ended under it, the caller got a 200 with the part that had arrived, and the answer cleared the request that had crashed the server.

Cause: the close that ends such an answer was always taken for its end.

Change: after such an answer the node connects to the server once, as it does after a call without an answer; the connection is kept for the next call. If the server is gone, the call counts as lost and as one that ran at the end of the server. An answer that says the call was not run is left as it is.

Measured: crashing_answer/an_answer_without_length_is_cut_by_the_server_s_end failed before (18 answers passed on, with and without a first part) and passes now; an_answer_without_length_of_a_living_server_is_whole passed before and after.

--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -266,11 +266,22 @@
 
 awaitable<void> home_runner::checkServerEnd(const mesh_call &Call,
                                             worker_start Start,
+                                            exchange_outcome End,
                                             mesh_answer &Answer) {
-  Broken.add(Call.Fingerprint, Start, currentTime());
+  // Without a server that ended, such an answer is whole, so the call is only
+  // noted if it did.
+  if (End == exchange_outcome::server_closed)
+    Broken.add(Call.Fingerprint, Start, currentTime());
   bool IsGone = co_await checkServerGone(Start);
-  if (IsGone)
-    Answer.EndedServer = Start;
+  if (!IsGone)
+    co_return;
+  if (End == exchange_outcome::answered_close) {
+    Broken.add(Call.Fingerprint, Start, currentTime());
+    serverEnded(Start, currentTime());
+    Answer = emptyAnswer(attempt_outcome::lost,
+                         "the backend server ended while it answered");
+  }
+  Answer.EndedServer = Start;
 }
 
 void home_runner::recordAnswer(const mesh_call &Call,
@@ -337,10 +348,12 @@
   if (Answer.Status > 0)
     applyNotice(Start, Answer.Notice, Now, Ended);
   exchange_outcome End = Connection->lastEnd();
+  bool MayHaveRun = Answer.Outcome != attempt_outcome::server_refused;
   if (End == exchange_outcome::given_up)
     Broken.addGivenUp(Call.Fingerprint, Start, Ended);
-  if (End == exchange_outcome::server_closed)
-    co_await checkServerEnd(Call, Start, Answer);
+  if (End == exchange_outcome::server_closed ||
+      (End == exchange_outcome::answered_close && MayHaveRun))
+    co_await checkServerEnd(Call, Start, End, Answer);
   recordAnswer(Call, Answer);
   Connections.giveBack(std::move(Connection));
   Answer.RunTime = Ended - Now;
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -90,10 +90,11 @@
   /// Connects to the backend server after the server closed a call's
   /// connection; returns whether the server is gone.
   awaitable<bool> checkServerGone(worker_start Start);
-  /// Checks whether the backend server ended under a call whose connection it
-  /// closed.
+  /// Checks whether the backend server ended under a call, after an exchange
+  /// that ended with its connection. If so, an answer without a length may be
+  /// cut, so it counts as lost.
   awaitable<void> checkServerEnd(const mesh_call &Call, worker_start Start,
-                                 mesh_answer &Answer);
+                                 exchange_outcome End, mesh_answer &Answer);
   /// Clears a suspected call that was answered.
   void recordAnswer(const mesh_call &Call, const mesh_answer &Answer);
   /// Called when this start of the backend server is known to be gone.
--- a/tests/mesh/crashing_answer_test.cpp
+++ b/tests/mesh/crashing_answer_test.cpp
@@ -150,6 +150,12 @@
                    "Content-Length: 0\r\n\r\n"}});
 }
 
+// Guards against a cut answer without a length that is passed on as whole and
+// clears the request that crashed its server.
+BOOST_AUTO_TEST_CASE(an_answer_without_length_is_cut_by_the_server_s_end) {
+  check({{"unframed", Head + "\r\npart"}, {"unframed-empty", Head + "\r\n"}});
+}
+
 // Guards against a request that crashes servers without end because each time
 // its node has given it up before the server ends.
 BOOST_AUTO_TEST_CASE(a_server_that_ends_after_the_call_was_given_up_has_ended) {
@@ -157,4 +163,31 @@
          {"caller-left", "", milliseconds(120), 2'000, milliseconds(60)}});
 }
 
+// Guards against requests that are refused since servers often end the
+// connection to show the end of their answers.
+BOOST_AUTO_TEST_CASE(an_answer_without_length_of_a_living_server_is_whole) {
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    for (std::size_t Index = 0; Index < Mesh.size(); ++Index)
+      Mesh.worker(Index).Script.Answer =
+          [](tcp::socket &Socket, const request &Request) -> awaitable<void> {
+        std::string Answer = Head + "\r\nwhole";
+        Answer.replace(Answer.find("ID"), 2,
+                       std::string(Request["Request-Id"]));
+        co_await write(Socket, std::move(Answer));
+        error_code Ignored;
+        Socket.close(Ignored);
+      };
+    for (unsigned Number = 0; Number < 12; ++Number) {
+      auto Answer = co_await Mesh.call(
+          Number % Mesh.size(),
+          Mesh.get("/kassa/sound", "sound-" + std::to_string(Number)));
+      BOOST_TEST(statusOf(Answer) == 200u);
+      BOOST_REQUIRE(Answer);
+      BOOST_TEST(Answer->body() == "whole");
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
