Refuse a body that can't arrive before its deadline at once

Callers: a body that is too large for the link of its home node was let onto an idle link, used it until its deadline passed, and then failed.

Cause: body_admission compared the time of the transfer with the deadline only for bodies that had to wait.

Change: an offer whose transfer alone ends after the deadline is refused before a byte is sent.

Measured: a_body_that_can_t_arrive_in_time_is_refused_at_once is new; by the code before, the first offer on an idle link is always sent.

--- a/src/libchivebeam/routing/body_admission.cpp
+++ b/src/libchivebeam/routing/body_admission.cpp
@@ -56,6 +56,8 @@
 }
 
 transfer_decision body_admission::offer(const body_offer &Offer, instant Now) {
+  if (Now + transferTime(Offer.Bytes) > Offer.Deadline)
+    return transfer_decision::refuse;
   if (Waiting.empty() && hasCapacity(Offer.Bytes)) {
     InTransit.push_back(Offer);
     return transfer_decision::send;
--- a/tests/routing/body_admission_test.cpp
+++ b/tests/routing/body_admission_test.cpp
@@ -160,3 +160,17 @@
   BOOST_TEST(WithAdmission.Served + WithAdmission.Refused > 450u);
   BOOST_TEST(WithAdmission.LongestQueue <= milliseconds(100));
 }
+
+// Guards against a body that uses the link though it can't arrive in time.
+BOOST_AUTO_TEST_CASE(a_body_that_can_t_arrive_in_time_is_refused_at_once) {
+  body_admission Admission{SlowLinkBytesPerSecond};
+  body_offer Offer;
+  Offer.Call = call_number(1);
+  Offer.Bytes = static_cast<std::uint64_t>(2 * SlowLinkBytesPerSecond);
+  Offer.Goal = Start + milliseconds(300);
+  Offer.Deadline = Start + milliseconds(1'200);
+  BOOST_TEST((Admission.offer(Offer, Start) == transfer_decision::refuse));
+  BOOST_TEST(Admission.inTransit() == 0u);
+  Offer.Deadline = Start + seconds(3);
+  BOOST_TEST((Admission.offer(Offer, Start) == transfer_decision::send));
+}
