Send large bodies in parts, and close only links that take no bytes

Cause: frame_channel took a peer for stuck when more than 32 MB waited to be sent, and one connection carries all calls, so one large body ended all of them. Ruled out: the planned stop (the link breaks without it), the server, the memory budget of the entry node (40 of 65 MB).

Change: - A peer is stuck when bytes wait and it takes none for 5 s. - Bodies over 16 KiB travel in parts of 64 KiB, in turns and between frames, if the receiver says that it reads parts; an earlier version gets them whole. - A call counts as possibly run only once the last part of its body is about to be written. - The home node reserves memory for a body before it asks for it, and refuses it as not run if there is none. Answers that wait to be sent have a budget of their own; one that doesn't fit costs only its own call. - Calls are refused at once while 32 MB of frames wait. A receiver no longer sets memory aside for the size that a peer states. - At most 128 KiB wait unsent in the socket, so frames pass a body soon.

--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -24,20 +24,6 @@
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
 
-/// Releases reserved bytes at the end of its scope.
-class body_reservation {
-public:
-  body_reservation(body_budget &Budget, std::uint64_t Bytes)
-      : Budget(Budget), Bytes(Bytes) {}
-  ~body_reservation() { Budget.release(Bytes); }
-  body_reservation(const body_reservation &) = delete;
-  body_reservation &operator=(const body_reservation &) = delete;
-
-private:
-  body_budget &Budget;
-  std::uint64_t Bytes;
-};
-
 } // namespace
 
 caller_session::caller_session(session_context &SessionContext,
@@ -164,11 +150,12 @@
   if (RouteProblem)
     co_return co_await refuse(*RouteProblem, Id, Keep);
   std::uint64_t ContentLength = Parser.content_length().value_or(0);
-  if (!Shared.Bodies.tryReserve(ContentLength)) {
+  std::optional<body_reservation> Reserved =
+      Shared.Bodies.reserve(ContentLength);
+  if (!Reserved) {
     Shared.Metrics.count("bodies_refused");
     co_return co_await refuse(own_answer::not_run, Id, false);
   }
-  body_reservation Reservation(Shared.Bodies, ContentLength);
   if (!co_await readBody(Parser, ArrivedAt))
     co_return false;
   co_return co_await runCall(Parser.release(), ArrivedAt);
--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -1,34 +1,18 @@
 #pragma once
 
 #include "data/disconnect_watcher.h"
+#include "mesh/body_budget.h"
 #include "mesh/entry_router.h"
 
 namespace chivebeam {
 
-/// Limits the total bytes of request bodies held in memory. Not thread safe.
-class body_budget {
-public:
-  explicit body_budget(std::uint64_t MaxBytes) : MaxBytes(MaxBytes) {}
-  bool tryReserve(std::uint64_t Bytes) {
-    if (ReservedBytes + Bytes > MaxBytes)
-      return false;
-    ReservedBytes += Bytes;
-    return true;
-  }
-  void release(std::uint64_t Bytes) { ReservedBytes -= Bytes; }
-
-private:
-  std::uint64_t MaxBytes;
-  std::uint64_t ReservedBytes = 0;
-};
-
 /// State that the sessions of one listener share.
 struct session_context {
   entry_router &Router;
   const call_protocol &Protocol;
   mesh_state &State;
   mesh_metrics &Metrics;
-  body_budget Bodies;
+  body_budget &Bodies;   ///< of requests
   bool Draining = false; ///< answers carry Connection: close
 };
 
--- a/src/chivebeam/mesh/frame_channel.cpp
+++ b/src/chivebeam/mesh/frame_channel.cpp
@@ -11,10 +11,15 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 16 << 10;
-/// A peer is disconnected when more than this waits to be sent to it.
-constexpr std::size_t MaxOutgoingBytes = 32 << 20;
-/// Buffers that are passed to one write call.
-constexpr std::size_t MaxBuffersPerWrite = 32;
+/// Calls and answers are not added while more bytes of frames wait.
+constexpr std::size_t MaxWaitingFrameBytes = 32 << 20;
+/// The connection is closed if bytes wait and none is taken for this time.
+constexpr milliseconds StuckLimit{5'000};
+/// Unsent bytes in the socket's buffer. Frames wait behind them, so they must
+/// take little time on a slow link.
+constexpr int MaxUnsentBytes = 128 << 10;
+/// A read buffer that was enlarged for a frame is released above this size.
+constexpr std::size_t MaxKeptBufferBytes = 1 << 20;
 /// Data that stays unacknowledged for this time ends the connection.
 constexpr milliseconds UnacknowledgedLimit{2'000};
 
@@ -27,6 +32,9 @@
   if (::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                    &Millis, sizeof Millis) != 0)
     log_event("socket_option_failed").add("option", "TCP_USER_TIMEOUT");
+  if (::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                   &MaxUnsentBytes, sizeof MaxUnsentBytes) != 0)
+    log_event("socket_option_failed").add("option", "TCP_NOTSENT_LOWAT");
 }
 
 void frame_channel::start(frame_handler FrameHandler,
@@ -46,46 +54,62 @@
 void frame_channel::send(const peer_frame &Frame) {
   if (!Open)
     return;
-  auto Head = std::make_shared<const std::string>(
-      encodeFrameHead(Frame, currentTime()));
-  OutgoingBytes += Head->size();
-  Outgoing.push_back(std::move(Head));
   shared_body Body = bodyOf(Frame);
-  if (Body && !Body->empty()) {
-    OutgoingBytes += Body->size();
-    Outgoing.push_back(std::move(Body));
-  }
-  if (OutgoingBytes > MaxOutgoingBytes) {
-    log_event("peer_stuck").add("bytes", OutgoingBytes);
-    close();
+  std::size_t Size = Body ? Body->size() : 0;
+  Outgoing.addFrame(encodeFrameHead(Frame, Size, currentTime()),
+                    std::move(Body));
+  startWriting();
+}
+
+void frame_channel::sendBody(std::uint64_t Call, shared_body Body,
+                             outgoing_queue::sent_handler OnLastPart) {
+  if (!Open)
     return;
-  }
+  Outgoing.addBody(Call, std::move(Body), std::move(OnLastPart));
+  startWriting();
+}
+
+bool frame_channel::isCongested() const {
+  return Outgoing.frameBytes() > MaxWaitingFrameBytes;
+}
+
+void frame_channel::startWriting() {
   if (Writing)
     return;
   Writing = true;
+  LastProgress = currentTime();
   asio::co_spawn(Socket.get_executor(), write(), asio::detached);
 }
 
 awaitable<void> frame_channel::write() {
   std::shared_ptr<frame_channel> Self = shared_from_this();
   while (Open && !Outgoing.empty()) {
-    std::vector<shared_body> Batch;
+    outgoing_batch Batch = Outgoing.takeBatch(currentTime());
     std::vector<asio::const_buffer> Buffers;
-    while (!Outgoing.empty() && Batch.size() < MaxBuffersPerWrite) {
-      Batch.push_back(std::move(Outgoing.front()));
-      Outgoing.pop_front();
-      Buffers.push_back(asio::buffer(*Batch.back()));
-    }
+    Buffers.reserve(Batch.Pieces.size());
+    for (std::string_view Piece : Batch.Pieces)
+      Buffers.push_back(asio::buffer(Piece));
+    auto RecordProgress = [this](const error_code &Code, std::size_t) {
+      LastProgress = currentTime();
+      return Code ? std::size_t{0} : std::size_t{MaxUnsentBytes};
+    };
     error_code Code;
-    std::size_t Written =
-        co_await asio::async_write(Socket, Buffers, orError(Code));
-    OutgoingBytes -= std::min(OutgoingBytes, Written);
+    co_await asio::async_write(Socket, Buffers, RecordProgress, orError(Code));
     if (Code)
       close();
   }
   Writing = false;
 }
 
+void frame_channel::closeIfStuck(instant Now) {
+  if (!Open || !Writing || Now < LastProgress + StuckLimit)
+    return;
+  log_event("peer_stuck")
+      .add("peer", remoteIp())
+      .add("waiting_ms", (Now - LastProgress).count() / 1'000);
+  close();
+}
+
 void frame_channel::close() {
   if (!Open)
     return;
@@ -106,15 +130,17 @@
     if (!Sizes)
       return false;
     std::size_t Whole = FramePrefixBytes + Sizes->Head + Sizes->Body;
-    if (Buffer.size() < Whole) {
-      Buffer.reserve(Whole);
+    // Memory is set aside as bytes arrive, not for the size that the peer
+    // states.
+    if (Buffer.size() < Whole)
       return true;
-    }
     std::string_view Head(Start + FramePrefixBytes, Sizes->Head);
     std::string Body(Start + FramePrefixBytes + Sizes->Head, Sizes->Body);
     result<peer_frame> Frame =
         decodeFrame(Head, std::move(Body), currentTime());
     Buffer.consume(Whole);
+    if (Buffer.capacity() > MaxKeptBufferBytes)
+      Buffer.shrink_to_fit();
     if (!Frame) {
       log_event("bad_frame")
           .add("from", remoteIp())
--- a/src/chivebeam/mesh/frame_channel.h
+++ b/src/chivebeam/mesh/frame_channel.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 
+#include "mesh/outgoing_queue.h"
 #include "net/asio_types.h"
-#include "wire/peer_frame.h"
 
 namespace chivebeam {
 
@@ -22,34 +21,48 @@
   void start(frame_handler OnFrame, close_handler OnClose);
   /// Sends a frame; frames for a closed channel are dropped.
   void send(const peer_frame &Frame);
+  /// Sends the body of a call in parts, so that frames pass between them.
+  /// OnLastPart is called before the last part is written. \pre Body is not
+  /// empty, and the other side accepts parts.
+  void sendBody(std::uint64_t Call, shared_body Body,
+                outgoing_queue::sent_handler OnLastPart);
+  /// Sends no more of the body of this call.
+  void cancelBody(std::uint64_t Call) { Outgoing.removeBody(Call); }
   void close();
+  /// Closes the connection if the other side has taken no byte for a while
+  /// although bytes wait.
+  void closeIfStuck(instant Now);
   bool isOpen() const { return Open; }
   instant lastReceived() const { return LastReceived; }
-  /// True while frames are being written or wait to be written.
+  /// True while bytes are being written or wait to be written.
   bool isSending() const { return Writing; }
+  /// True if so many frames wait that calls and answers must not be added.
+  bool isCongested() const;
   /// Returns the IP address of the other side.
   std::string remoteIp() const;
 
 private:
   awaitable<void> read();
   awaitable<void> write();
+  void startWriting();
   /// Parses the complete frames in the buffer and passes them to OnFrame;
   /// returns false if one can't be decoded.
   bool parseFrames();
 
   tcp::socket Socket;
   beast::flat_buffer Buffer;
-  std::deque<shared_body> Outgoing;
-  std::size_t OutgoingBytes = 0;
+  outgoing_queue Outgoing;
   bool Writing = false;
+  instant LastProgress; ///< when the other side last took bytes
   bool Open = true;
   instant LastReceived;
   frame_handler OnFrame;
   close_handler OnClose;
 };
 
-/// Sets the socket options of a connection between nodes: no delay, and a
-/// timeout after which unacknowledged data ends the connection.
+/// Sets the socket options of a connection between nodes: no delay, a bound of
+/// the bytes that wait in the socket, and a timeout after which unacknowledged
+/// data ends the connection.
 void configurePeerSocket(tcp::socket &Socket);
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -60,6 +60,12 @@
   bool isRunningRetry(const request_id &Id) const {
     return RunningRetries.contains(Id);
   }
+  /// True if the backend server of the call takes calls.
+  bool acceptsCall(const mesh_call &Call) const {
+    return isForCurrentWorker(Call);
+  }
+  /// Returns the answer to a call that is not run.
+  mesh_answer refusal(microseconds RetryAfter, std::string Reason) const;
   home_load load() const;
   /// Sets the refusal ratios and the used part of the retry budgets of the
   /// services that the backend server calls.
@@ -104,7 +110,6 @@
   void refuse(const job &Job, std::string Reason);
   void decideOffer(const body_offer &Offer, body_decision Decide, instant Now);
   slot_request slotRequest(const mesh_call &Call);
-  mesh_answer refusal(microseconds RetryAfter, std::string Reason) const;
   void recordResult(const job &Job, const mesh_answer &Answer, instant Now);
   void apply(const slot_update &Change);
   /// Wakes up when the rate limit lets the next waiting call start.
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -16,6 +16,10 @@
 /// An immutable message body that all owners of a call share.
 using shared_body = std::shared_ptr<const std::string>;
 
+/// Largest answer of a backend server. Answers are buffered completely, so that
+/// a truncated one is never forwarded as complete.
+inline constexpr std::uint64_t MaxAnswerBytes = 16 << 20;
+
 /// A call as an entry node forwards it to a home node. Value type.
 struct mesh_call {
   request_id Id;
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -43,7 +43,8 @@
 /// A suspension of the machine is handled if it lasted at least this long. The
 /// steady clock does not count this time.
 constexpr milliseconds MinSuspension{300};
-/// Request bodies may use the memory of the process divided by this number.
+/// Request bodies, and answers that wait to be sent to other nodes, may each
+/// use the memory of the process divided by this number.
 constexpr std::uint64_t BodyMemoryDivisor = 4;
 constexpr std::size_t MaxControlBody = 4 << 10;
 
@@ -61,6 +62,8 @@
     : Settings(std::move(NodeSettings)),
       Dependencies(std::move(NodeDependencies)), Context(IoContext),
       Signals(Context, SIGTERM, SIGINT, SIGHUP),
+      Bodies{body_budget(Settings.MemoryBytes / BodyMemoryDivisor),
+             body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
       State(Settings, *Dependencies.DocumentFormat),
       Home(Context, *Dependencies.Calls, State, Settings.LinkBytesPerSecond),
       Hub(Context, State),
@@ -95,9 +98,8 @@
                }}),
       Reliance(Settings.FirstStart, std::hash<node_id>()(Settings.Node)),
       Callers(Context, Settings,
-              session_context{
-                  Router, *Dependencies.Calls, State, Metrics,
-                  body_budget(Settings.MemoryBytes / BodyMemoryDivisor)}),
+              session_context{Router, *Dependencies.Calls, State, Metrics,
+                              Bodies.Requests}),
       PeerAcceptor(Context),
       Readiness(Context, MaxControlBody,
                 [this](const http_request &,
@@ -171,7 +173,7 @@
                             [this](tcp::socket Socket) {
                               configurePeerSocket(Socket);
                               Hub.addSession(std::make_shared<peer_session>(
-                                  std::move(Socket), Home, State));
+                                  std::move(Socket), Home, Bodies, State));
                             }),
                  asio::detached);
   awaitSignal();
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -89,6 +89,7 @@
   asio::io_context &Context;
   asio::signal_set Signals;
   mesh_metrics Metrics;
+  body_memory Bodies;
   mesh_state State;
   home_runner Home;
   peer_hub Hub;
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -115,6 +115,7 @@
 void peer_link::sendCall(std::uint64_t Number, pending_call &Waiting) {
   peer_frame Frame = Protocol.frame(frame_kind::call);
   Frame.Call = Number;
+  Frame.AcceptsParts = true;
   shared_body Body = Waiting.Call.Body;
   Waiting.Idempotent = Waiting.Call.Idempotent;
   Waiting.BodyOffered = Body && Body->size() > LargeBodyBytes;
@@ -128,14 +129,23 @@
   Channel->send(Frame);
 }
 
-void peer_link::sendBody(std::uint64_t Number) {
+void peer_link::sendBody(const peer_frame &Request) {
+  std::uint64_t Number = Request.Call;
   auto Found = Pending.find(Number);
-  if (Found == Pending.end() || !Found->second.BodyOffered ||
-      Found->second.Sent)
+  if (Found == Pending.end() || !Found->second.Call.Body)
     return; // cancelled in the meantime
+  shared_body Body = std::move(Found->second.Call.Body);
+  if (Request.AcceptsParts) {
+    Channel->sendBody(Number, std::move(Body),
+                      [Weak = weak_from_this(), Number] {
+                        if (auto Link = Weak.lock())
+                          Link->bodySent(Number);
+                      });
+    return;
+  }
   peer_frame Frame = Protocol.frame(frame_kind::body);
   Frame.Call = Number;
-  Frame.Body = std::move(Found->second.Call.Body);
+  Frame.Body = std::move(Body);
   Found->second.Sent = true;
   Channel->send(Frame);
 }
@@ -151,9 +161,12 @@
 void peer_link::call(mesh_call Call, const cancel_signal &Cancel, reply Reply) {
   instant Now = currentTime();
   LastUsed = Now;
-  if (!mayOpenSoon(Now)) {
-    mesh_answer Answer = emptyAnswer(attempt_outcome::not_sent,
-                                     "the home node can't be reached");
+  bool IsCongested = Channel && Channel->isCongested();
+  if (IsCongested || !mayOpenSoon(Now)) {
+    mesh_answer Answer =
+        emptyAnswer(attempt_outcome::not_sent,
+                    IsCongested ? "too much waits to be sent to the home node"
+                                : "the home node can't be reached");
     Answer.Unreachable = true;
     asio::post(Context, [Reply = std::move(Reply), Answer = std::move(Answer)] {
       Reply(Answer);
@@ -183,6 +196,8 @@
     Frame.Call = Number;
     send(Frame);
   }
+  if (Channel)
+    Channel->cancelBody(Number);
   Pending.erase(Found);
 }
 
@@ -207,18 +222,59 @@
   Silent = false;
   HeardPeer = true;
   PeerState.nodeAnswered(Node);
+  // A part has none of the other fields of a frame.
+  if (Frame.Kind == frame_kind::body_part)
+    return onAnswerPart(Frame);
   if (Protocol.handle(Frame, Node, *Channel))
     return;
   if (Frame.Kind == frame_kind::body_request)
-    return sendBody(Frame.Call);
-  if (Frame.Kind != frame_kind::answer)
-    return;
+    sendBody(Frame);
+  else if (Frame.Kind == frame_kind::answer)
+    onAnswer(std::move(Frame));
+}
+
+void peer_link::bodySent(std::uint64_t Number) {
+  if (auto Found = Pending.find(Number); Found != Pending.end())
+    Found->second.Sent = true;
+}
+
+void peer_link::onAnswer(peer_frame Frame) {
   auto Found = Pending.find(Frame.Call);
   if (Found == Pending.end())
     return; // cancelled earlier
+  if (Frame.PartedBytes == 0)
+    return complete(Frame.Call, std::move(*Frame.Answer));
+  if (Frame.PartedBytes > MaxAnswerBytes)
+    return complete(Frame.Call,
+                    emptyAnswer(attempt_outcome::lost,
+                                "the answer exceeds the size limit"));
+  Found->second.Parted = {std::move(*Frame.Answer), Frame.PartedBytes, {}};
+}
+
+void peer_link::onAnswerPart(const peer_frame &Frame) {
+  auto Found = Pending.find(Frame.Call);
+  if (Found == Pending.end() || !Found->second.Parted)
+    return; // cancelled earlier
+  parted_answer &Parted = *Found->second.Parted;
+  Parted.Body += *Frame.Body;
+  if (Parted.Body.size() < Parted.Bytes)
+    return;
+  if (Parted.Body.size() > Parted.Bytes)
+    return complete(Frame.Call,
+                    emptyAnswer(attempt_outcome::lost,
+                                "the answer is longer than announced"));
+  mesh_answer Answer = std::move(Parted.Answer);
+  Answer.Body = std::make_shared<const std::string>(std::move(Parted.Body));
+  complete(Frame.Call, std::move(Answer));
+}
+
+void peer_link::complete(std::uint64_t Number, mesh_answer Answer) {
+  auto Found = Pending.find(Number);
   reply Reply = std::move(Found->second.Reply);
   Pending.erase(Found);
-  Reply(std::move(*Frame.Answer));
+  // The home node may answer before it has the whole body.
+  Channel->cancelBody(Number);
+  Reply(std::move(Answer));
 }
 
 void peer_link::onClosed() {
@@ -296,6 +352,9 @@
       Failed = false;
     return;
   }
+  Channel->closeIfStuck(Now);
+  if (!isOpen())
+    return;
   // A ping that is still queued can't be answered: an upload may fill a slow
   // link.
   if (PingPending && Channel->isSending() && Now < PingSentAt + SendingLimit)
--- a/src/chivebeam/mesh/peer_link.h
+++ b/src/chivebeam/mesh/peer_link.h
@@ -52,10 +52,19 @@
   void close();
 
 private:
+  /// An answer whose body arrives in parts.
+  struct parted_answer {
+    mesh_answer Answer;
+    std::uint64_t Bytes = 0; ///< of the whole body
+    std::string Body;        ///< what has arrived
+  };
   struct pending_call {
     mesh_call Call; ///< moved from once sent, except an offered body
     reply Reply;
-    bool Sent = false; ///< true when the call and its body were sent
+    /// The home node may have the call and its whole body. Before, the call has
+    /// certainly not run.
+    bool Sent = false;
+    std::optional<parted_answer> Parted;
     bool BodyOffered = false;
     bool Idempotent = false;
     bool SilenceReported = false;
@@ -74,7 +83,13 @@
   void failPending(std::string_view Reason);
   void fail(pending_call &Waiting, std::string_view Reason);
   void sendCall(std::uint64_t Number, pending_call &Pending);
-  void sendBody(std::uint64_t Number);
+  void sendBody(const peer_frame &Request);
+  /// Called when the last part of a call's body is about to be written.
+  void bodySent(std::uint64_t Number);
+  void onAnswer(peer_frame Frame);
+  void onAnswerPart(const peer_frame &Frame);
+  /// Ends a call with its answer.
+  void complete(std::uint64_t Number, mesh_answer Answer);
   void cancel(std::uint64_t Number);
 
   asio::io_context &Context;
--- a/src/chivebeam/mesh/peer_protocol.cpp
+++ b/src/chivebeam/mesh/peer_protocol.cpp
@@ -141,6 +141,7 @@
   case frame_kind::cancel:
   case frame_kind::body_request:
   case frame_kind::body:
+  case frame_kind::body_part:
   case frame_kind::subscribe:
     return false;
   }
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Largest answer. Answers are buffered completely, so that a truncated one is
-/// never forwarded as complete.
-constexpr std::uint64_t MaxAnswerBytes = 16 << 20;
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 << 10;
 /// Answers to other calls that are skipped, since a faulty backend server may
 /// send some first. After more of them the attempt fails.
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -264,7 +264,8 @@
   return Frame.Body;
 }
 
-std::string encodeFrameHead(const peer_frame &Frame, instant Now) {
+std::string encodeFrameHead(const peer_frame &Frame, std::size_t BodyBytes,
+                            instant Now) {
   wire::peer_frame Out;
   Out.kind = static_cast<std::int32_t>(Frame.Kind);
   Out.call = static_cast<std::int64_t>(Frame.Call);
@@ -297,16 +298,24 @@
       Events.push_back(toWire(Event, Now));
     Out.__set_suspects(Events);
   }
+  if (Frame.AcceptsParts)
+    Out.__set_accepts_parts(true);
+  if (Frame.PartedBytes > 0)
+    Out.__set_body_bytes(static_cast<std::int64_t>(Frame.PartedBytes));
   std::string Head = encodeThrift(Out);
-  shared_body Body = bodyOf(Frame);
   std::string Bytes;
   Bytes.reserve(FramePrefixBytes + Head.size());
   appendSize(Bytes, Head.size());
-  appendSize(Bytes, Body ? Body->size() : 0);
+  appendSize(Bytes, BodyBytes);
   Bytes += Head;
   return Bytes;
 }
 
+std::string encodeFrameHead(const peer_frame &Frame, instant Now) {
+  shared_body Body = bodyOf(Frame);
+  return encodeFrameHead(Frame, Body ? Body->size() : 0, Now);
+}
+
 result<frame_sizes> decodeFrameSizes(std::string_view Bytes) {
   frame_sizes Sizes{readSize(Bytes), readSize(Bytes.substr(SizeFieldBytes))};
   if (Sizes.Head > MaxFrameHeadBytes || Sizes.Body > MaxFrameBodyBytes)
@@ -321,7 +330,7 @@
   if (!In)
     return tl::unexpected(In.error());
   if (In->kind < 0 ||
-      In->kind > static_cast<std::int32_t>(frame_kind::subscribe))
+      In->kind > static_cast<std::int32_t>(frame_kind::body_part))
     return tl::unexpected(invalidFrame("the frame has an unknown kind"));
   peer_frame Frame;
   Frame.Kind = static_cast<frame_kind>(In->kind);
@@ -347,11 +356,15 @@
     Frame.Suspects.push_back(fromWire(Event, Now));
   if (In->__isset.evidence)
     Frame.Evidence = chivebeam::fromWire(In->evidence);
+  Frame.AcceptsParts = In->__isset.accepts_parts && In->accepts_parts;
+  if (In->__isset.body_bytes && In->body_bytes > 0)
+    Frame.PartedBytes = static_cast<std::uint64_t>(In->body_bytes);
   bool Complete = (Frame.Kind != frame_kind::call || Frame.Request) &&
                   (Frame.Kind != frame_kind::answer || Frame.Answer) &&
                   (Frame.Kind != frame_kind::evidence || Frame.Evidence) &&
                   (Frame.Kind != frame_kind::move || Frame.Body) &&
-                  (Frame.Kind != frame_kind::body || Frame.Body);
+                  (Frame.Kind != frame_kind::body || Frame.Body) &&
+                  (Frame.Kind != frame_kind::body_part || Frame.Body);
   if (!Complete)
     return tl::unexpected(
         invalidFrame("the frame lacks the content that its kind requires"));
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -29,6 +29,7 @@
   body_request = 12, ///< requests the body of an offered call
   body = 13,         ///< the body of an offered call
   subscribe = 14,    ///< the sender wants all changes of records and moves
+  body_part = 15,    ///< the next part of the body of a call or an answer
 };
 
 /// One frame. Its kind determines which parts it has. A plain value.
@@ -51,15 +52,25 @@
   std::vector<home_record> Records;
   std::optional<evidence_report> Evidence;
   std::vector<suspect_event> Suspects; ///< in frames of kind records
+  /// The sender can read the body that it asks for in parts. A process of an
+  /// earlier version neither says so nor reads parts.
+  bool AcceptsParts = false;
+  /// Size of the answer's body, which follows in parts; zero if Answer has it.
+  std::uint64_t PartedBytes = 0;
   shared_body Body; ///< text of a configuration or a move; body of a call
 };
 
+/// Larger bodies are sent in parts of this size.
+inline constexpr std::size_t MaxPartBytes = 64 << 10;
 /// Largest body of one frame.
 inline constexpr std::size_t MaxFrameBodyBytes = 128 << 20;
 inline constexpr std::size_t FramePrefixBytes = 8;
 
-/// Encodes the frame without its body, which is sent after these bytes. Thread
-/// safe.
+/// Encodes the frame without its body, of which BodyBytes are sent after these
+/// bytes. Thread safe.
+std::string encodeFrameHead(const peer_frame &Frame, std::size_t BodyBytes,
+                            instant Now);
+/// The same for the body that the frame holds.
 std::string encodeFrameHead(const peer_frame &Frame, instant Now);
 /// Returns the body to send after the head, or null if there is none.
 shared_body bodyOf(const peer_frame &Frame);
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -241,4 +241,9 @@
   13: i64 store_age_us
   // With the records of a node or without any.
   14: optional list<suspect_event> suspects
+  // True if the sender can read, in parts, the body that it asks for: that of
+  // the answer to a call, or that of an offered call.
+  15: optional bool accepts_parts
+  // Size of the body of the answer, which follows in frames of kind body_part.
+  16: optional i64 body_bytes
 }
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -4269,6 +4269,16 @@
   this->suspects = val;
 __isset.suspects = true;
 }
+
+void peer_frame::__set_accepts_parts(const bool val) {
+  this->accepts_parts = val;
+__isset.accepts_parts = true;
+}
+
+void peer_frame::__set_body_bytes(const int64_t val) {
+  this->body_bytes = val;
+__isset.body_bytes = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_frame& obj)
 {
   obj.printTo(out);
@@ -4445,6 +4455,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepts_parts);
+          this->__isset.accepts_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->body_bytes);
+          this->__isset.body_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4548,6 +4574,16 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.accepts_parts) {
+    xfer += oprot->writeFieldBegin("accepts_parts", ::apache::thrift::protocol::T_BOOL, 15);
+    xfer += oprot->writeBool(this->accepts_parts);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.body_bytes) {
+    xfer += oprot->writeFieldBegin("body_bytes", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->body_bytes);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4569,6 +4605,8 @@
   swap(a.covered_buckets, b.covered_buckets);
   swap(a.store_age_us, b.store_age_us);
   swap(a.suspects, b.suspects);
+  swap(a.accepts_parts, b.accepts_parts);
+  swap(a.body_bytes, b.body_bytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -4587,6 +4625,8 @@
   covered_buckets = other118.covered_buckets;
   store_age_us = other118.store_age_us;
   suspects = other118.suspects;
+  accepts_parts = other118.accepts_parts;
+  body_bytes = other118.body_bytes;
   __isset = other118.__isset;
 }
 peer_frame& peer_frame::operator=(const peer_frame& other119) {
@@ -4604,6 +4644,8 @@
   covered_buckets = other119.covered_buckets;
   store_age_us = other119.store_age_us;
   suspects = other119.suspects;
+  accepts_parts = other119.accepts_parts;
+  body_bytes = other119.body_bytes;
   __isset = other119.__isset;
   return *this;
 }
@@ -4624,6 +4666,8 @@
   out << ", " << "covered_buckets=" << to_string(covered_buckets);
   out << ", " << "store_age_us=" << to_string(store_age_us);
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "accepts_parts="; (__isset.accepts_parts ? (out << to_string(accepts_parts)) : (out << "<null>"));
+  out << ", " << "body_bytes="; (__isset.body_bytes ? (out << to_string(body_bytes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1663,7 +1663,7 @@
 std::ostream& operator<<(std::ostream& out, const suspect_event& obj);
 
 typedef struct _peer_frame__isset {
-  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), store_age_us(false), suspects(false) {}
+  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), store_age_us(false), suspects(false), accepts_parts(false), body_bytes(false) {}
   bool kind :1;
   bool call :1;
   bool config :1;
@@ -1678,6 +1678,8 @@
   bool covered_buckets :1;
   bool store_age_us :1;
   bool suspects :1;
+  bool accepts_parts :1;
+  bool body_bytes :1;
 } _peer_frame__isset;
 
 class peer_frame : public virtual ::apache::thrift::TBase {
@@ -1693,7 +1695,9 @@
                store_current(0),
                store_era(0),
                covered_buckets(0),
-               store_age_us(0) {
+               store_age_us(0),
+               accepts_parts(0),
+               body_bytes(0) {
   }
 
   virtual ~peer_frame() noexcept;
@@ -1711,6 +1715,8 @@
   int64_t covered_buckets;
   int64_t store_age_us;
   std::vector<suspect_event>  suspects;
+  bool accepts_parts;
+  int64_t body_bytes;
 
   _peer_frame__isset __isset;
 
@@ -1742,6 +1748,10 @@
 
   void __set_suspects(const std::vector<suspect_event> & val);
 
+  void __set_accepts_parts(const bool val);
+
+  void __set_body_bytes(const int64_t val);
+
   bool operator == (const peer_frame & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1784,6 +1794,14 @@
       return false;
     else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
+    if (__isset.accepts_parts != rhs.__isset.accepts_parts)
+      return false;
+    else if (__isset.accepts_parts && !(accepts_parts == rhs.accepts_parts))
+      return false;
+    if (__isset.body_bytes != rhs.__isset.body_bytes)
+      return false;
+    else if (__isset.body_bytes && !(body_bytes == rhs.body_bytes))
+      return false;
     return true;
   }
   bool operator != (const peer_frame &rhs) const {
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -142,6 +142,7 @@
   Settings.Worker = Worker.Server->bound();
   Settings.Store = Store->listen();
   Settings.LinkBytesPerSecond = LinkBytesPerSecond;
+  Settings.MemoryBytes = MemoryBytes;
   Settings.RetryBudget.Slack = 100;
   Stopped.push_back(false);
   Nodes.emplace_back();
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -111,6 +111,8 @@
   awaitable<void> pause(milliseconds Time) { return sleepFor(Time); }
 
   double LinkBytesPerSecond = 0; ///< of nodes that are added after it is set
+  /// Memory of nodes that are added after it is set.
+  std::uint64_t MemoryBytes = 256 << 20;
   /// Limits in configurations that are stored after they are set.
   double IdleTimeoutS = 15;
   std::uint64_t MaxBodyBytes = 1 << 20;
--- a/tests/stand_ins/scripted_http.cpp
+++ b/tests/stand_ins/scripted_http.cpp
@@ -59,6 +59,7 @@
 awaitable<std::optional<text_answer>> caller::read(bool Head) {
   http::response_parser<http::string_body> Parser;
   Parser.skip(Head);
+  Parser.body_limit(64 << 20);
   error_code Code;
   co_await http::async_read(Stream, Buffer, Parser, orError(Code));
   if (Code)
