Use no connection again for a call that was refused on it

Callers: a call whose id was refused before was answered as not run (503) while a server ran it, and then ran on a second one. It needs a caller that uses its id again, and a server that sends the earlier refusal once more on the connection that carried it.

Cause: the id in an answer says to which call it belongs, but a refusal of an earlier call with the same id looks the same. Ruled out, by reading: a second attempt of one call at the same node (the home nodes that were tried are excluded), answers between nodes (numbered for each connection), refusals that wait on an idle connection (it is closed).

Change: a connection to a backend server remembers the ids of calls that were refused on it and carries none of them again.

--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -312,7 +312,7 @@
 awaitable<void> home_runner::runOnWorker(job_ptr Job) {
   const mesh_call &Call = Job->Call;
   std::shared_ptr<worker_connection> Connection =
-      co_await Connections.acquire(Call.Idempotent);
+      co_await Connections.acquire(Call);
   instant Now = currentTime();
   // The backend server may have been replaced while the call waited.
   bool Sendable = Connection && isForCurrentWorker(Call) &&
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -1,5 +1,6 @@
 #include "mesh/worker_connection.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <sys/socket.h>
@@ -15,6 +16,8 @@
 /// send some first. After more of them the attempt fails.
 constexpr int MaxMismatchedAnswers = 4;
 constexpr int MaxInterimAnswers = 16;
+/// A connection on which more calls were refused is not used again.
+constexpr std::size_t MaxNotedRefusals = 16;
 /// Bytes that wait to be parsed: a header, or the line before a chunk, which
 /// may have extensions of any length.
 constexpr std::size_t MaxUnparsedBytes = 128 << 10;
@@ -83,6 +86,16 @@
   return Answer;
 }
 
+bool worker_connection::hasRefused(const request_id &Id) const {
+  return std::find(Refused.begin(), Refused.end(), Id) != Refused.end();
+}
+
+void worker_connection::noteRefusal(const request_id &Id) {
+  Refused.push_back(Id);
+  if (Refused.size() > MaxNotedRefusals)
+    Reusable = false;
+}
+
 void worker_connection::parseKeepAlive(const http::fields &Fields) {
   beast::string_view Text = Fields[http::field::keep_alive];
   constexpr std::string_view Key = "timeout=";
@@ -134,6 +147,8 @@
         std::make_shared<const std::string>(std::move(Response.body()));
     Answer.Outcome = Protocol.outcomeOf(Answer.Status, Answer.Fields);
     Answer.Notice = Protocol.noticeIn(Answer.Fields);
+    if (Answer.Outcome == attempt_outcome::server_refused)
+      noteRefusal(Call.Id);
     co_return Answer;
   }
   AnswerEnd = answer_end::invalid;
--- a/src/chivebeam/mesh/worker_connection.h
+++ b/src/chivebeam/mesh/worker_connection.h
@@ -25,6 +25,10 @@
   bool isIdle();
   /// True if the connection may carry another call.
   bool reusable() const { return Reusable; }
+  /// True if the backend server refused a call with this id on the connection.
+  /// It may send the refusal again, which would pass for the answer to a later
+  /// call with the same id.
+  bool hasRefused(const request_id &Id) const;
   /// Returns how the last exchange ended.
   exchange_outcome lastEnd() const { return End; }
   void close();
@@ -41,6 +45,7 @@
   awaitable<void> send(shared_body Head, shared_body Body);
   awaitable<mesh_answer> readAnswer(const mesh_call &Call,
                                     const call_protocol &Protocol);
+  void noteRefusal(const request_id &Id);
   void parseKeepAlive(const http::fields &Fields);
   mesh_answer lostAnswer(const error_code &Code) const;
   /// Sets how the exchange ended, after the answer was read or given up.
@@ -49,6 +54,7 @@
   tcp::socket Socket;
   beast::flat_buffer Buffer;
   bool Reusable = true;
+  std::vector<request_id> Refused; ///< calls that were refused on it
   bool SendDone = true;
   bool SendFailed = false;
   bool TimedOut = false;
--- a/src/chivebeam/mesh/worker_connection_pool.cpp
+++ b/src/chivebeam/mesh/worker_connection_pool.cpp
@@ -35,8 +35,9 @@
 }
 
 std::shared_ptr<worker_connection>
-worker_connection_pool::takeIdle(microseconds MaxIdleTime) {
+worker_connection_pool::takeIdle(const mesh_call &Call) {
   instant Now = currentTime();
+  microseconds MaxIdleTime = Call.Idempotent ? MaxIdle : MaxIdleNonIdempotent;
   while (!Idle.empty()) {
     std::shared_ptr<worker_connection> Last = std::move(Idle.back());
     Idle.pop_back();
@@ -44,7 +45,8 @@
     if (Last->KeepAlive.count() > 0)
       IdleLimit =
           std::min<microseconds>(IdleLimit, Last->KeepAlive - KeepAliveMargin);
-    if (Now - Last->IdleSince < IdleLimit && Last->isIdle())
+    if (Now - Last->IdleSince < IdleLimit && Last->isIdle() &&
+        !Last->hasRefused(Call.Id))
       return Last;
     Last->close();
   }
@@ -58,8 +60,8 @@
 }
 
 awaitable<std::shared_ptr<worker_connection>>
-worker_connection_pool::acquire(bool Idempotent) {
-  if (auto Kept = takeIdle(Idempotent ? MaxIdle : MaxIdleNonIdempotent))
+worker_connection_pool::acquire(const mesh_call &Call) {
+  if (auto Kept = takeIdle(Call))
     co_return Kept;
   co_return co_await open();
 }
--- a/src/chivebeam/mesh/worker_connection_pool.h
+++ b/src/chivebeam/mesh/worker_connection_pool.h
@@ -20,9 +20,9 @@
 
   /// Sets the backend server; connections to another one are dropped.
   void setServer(const worker_start &Start, const address &At);
-  /// Returns an idle connection, or a new one; null if the backend server can't
-  /// be reached. \pre setServer was called.
-  awaitable<std::shared_ptr<worker_connection>> acquire(bool Idempotent);
+  /// Returns an idle connection that may carry the call, or a new one; null if
+  /// the backend server can't be reached. \pre setServer was called.
+  awaitable<std::shared_ptr<worker_connection>> acquire(const mesh_call &Call);
   /// Opens a connection; returns null if the backend server can't be reached.
   /// \pre setServer was called.
   awaitable<std::shared_ptr<worker_connection>> open();
@@ -40,7 +40,7 @@
   std::uint64_t opened() const { return Opened; }
 
 private:
-  std::shared_ptr<worker_connection> takeIdle(microseconds MaxIdle);
+  std::shared_ptr<worker_connection> takeIdle(const mesh_call &Call);
 
   gone_handler OnGone;
   std::optional<worker_start> Server;
