Let an odd entry of the store cost only itself

Operators and callers: an entry of another writer with an address like 300.1.1.1:80 or port 0 was taken for valid. A server that reported it was never reached; its calls hung until their deadlines (504) and kept their slots. Such an entry in the slot of a watcher could never be replaced, so the nodes of the failure domain wrote to the store without end. A key that isn't UTF-8 failed the whole listing, a page of items that can't be read ended it, and each listing logged every bad entry again.

Cause: addresses were checked for their characters only, and the conversion for the socket throws in a coroutine whose end nobody sees; a slot that can't be read counted as free, at a revision that it doesn't have; the next page began after the last item that could be read.

Change: IP addresses are parsed; reports, records in the store and records that peers pass on need an address that can be connected to. An unreadable slot is held by nobody and is taken over.

--- a/src/chivebeam/mesh/mesh_records.cpp
+++ b/src/chivebeam/mesh/mesh_records.cpp
@@ -131,7 +131,7 @@
   Record.Worker.State =
       static_cast<worker_state>(Reader.count("state", HighestState));
   Record.Worker.ReadySince = timeAfter(Reader.number("cold_us"), Now);
-  if (!Peer || Record.Node.empty())
+  if (!Peer || !isConnectable(*Peer) || Record.Node.empty())
     return tl::unexpected(
         error{error_kind::invalid_input, "/peer",
               "the record has no node or no valid peer address",
--- a/src/chivebeam/mesh/peer_protocol.cpp
+++ b/src/chivebeam/mesh/peer_protocol.cpp
@@ -85,6 +85,11 @@
 
 void peer_protocol::applyRecords(const peer_frame &Frame, const node_id &From,
                                  frame_channel &Channel) {
+  if (Frame.SkippedRecords > 0)
+    log_event("peer_records_skipped")
+        .add("from", From)
+        .add("records", Frame.SkippedRecords)
+        .add("remedy", "restart the node with this version");
   PeerState.applyRecords(Frame.Records, From);
   if (!Frame.Suspects.empty())
     PeerState.applySuspects(Frame.Suspects, From);
--- a/src/chivebeam/mesh/store_listeners.cpp
+++ b/src/chivebeam/mesh/store_listeners.cpp
@@ -3,25 +3,13 @@
 #include <set>
 
 #include "net/clock.h"
-#include "telemetry/log_event.h"
 
 namespace chivebeam {
 
-namespace {
-
-void logBadEntry(const store_entry &Entry, const error &Problem) {
-  log_event("store_entry_skipped")
-      .add("key", Entry.Key)
-      .add("revision", Entry.ModifiedAt)
-      .add("error", Problem.text());
-}
-
-} // namespace
-
 void operator_listener::applyOrder(const store_entry &Entry) {
   result<move_order> Order = DocumentFormat.readMoveOrder(Entry.Value);
   if (!Order)
-    return logBadEntry(Entry, Order.error());
+    return Skipped.skip(Entry, Order.error());
   MoveExecutor.applyOrder(*Order, Entry.ModifiedAt);
 }
 
@@ -53,14 +41,15 @@
     if (result<service_move> Move = readServiceMove(Entry.Value))
       MoveExecutor.applyMove(*Move, Entry.ModifiedAt);
     else
-      logBadEntry(Entry, Move.error());
+      Skipped.skip(Entry, Move.error());
   }
 }
 
 void mesh_listener::applyWatchers(const std::vector<store_entry> &Entries) {
   listed_watchers Listed;
   for (const store_entry &Entry : Entries)
-    Listed.add(Entry, currentTime());
+    if (std::optional<error> Problem = Listed.add(Entry, currentTime()))
+      Skipped.skip(Entry, *Problem);
   for (const watcher_slot &Slot : Listed.Slots)
     Registrar.slotFound(Slot);
   Membership.addListed(Listed.Records);
--- a/src/chivebeam/mesh/store_listeners.h
+++ b/src/chivebeam/mesh/store_listeners.h
@@ -4,6 +4,7 @@
 #include "mesh/move_executor.h"
 #include "mesh/store_subscription.h"
 #include "mesh/watcher_registrar.h"
+#include "store/skipped_entries.h"
 
 namespace chivebeam {
 
@@ -27,6 +28,7 @@
   const operator_document_format &DocumentFormat;
   mesh_state &State;
   move_executor &MoveExecutor;
+  skipped_entries Skipped;
 };
 
 /// Applies what the nodes of the mesh keep in the store: the slots of watchers,
@@ -50,6 +52,7 @@
   mesh_membership &Membership;
   move_executor &MoveExecutor;
   watcher_registrar &Registrar;
+  skipped_entries Skipped;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/watcher_registrar.cpp
+++ b/src/chivebeam/mesh/watcher_registrar.cpp
@@ -22,26 +22,27 @@
 
 } // namespace
 
-void listed_watchers::add(const store_entry &Entry, instant Now) {
+std::optional<error> listed_watchers::add(const store_entry &Entry,
+                                          instant Now) {
   std::string Prefix = mesh_keys::watchers();
   std::size_t NumberAt = Entry.Key.rfind('/') + 1;
   if (!Entry.Key.starts_with(Prefix) || NumberAt <= Prefix.size())
-    return;
+    return std::nullopt;
   unsigned Number = 0;
   const char *End = Entry.Key.data() + Entry.Key.size();
   auto Parsed = std::from_chars(Entry.Key.data() + NumberAt, End, Number);
-  result<home_record> Record = readHomeRecord(Entry.Value, Now);
-  if (Parsed.ptr != End || !Record) {
-    log_event("store_entry_skipped")
-        .add("key", Entry.Key)
-        .add("revision", Entry.ModifiedAt)
-        .add("error", Record ? "the key is no slot" : Record.error().text());
-    return;
-  }
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return error{error_kind::invalid_input, "", "the key is no slot",
+                 "remove the key; it was not written by a chivebeam node"};
   failure_domain Domain(
       Entry.Key.substr(Prefix.size(), NumberAt - 1 - Prefix.size()));
-  Slots.push_back({Domain, Number, Record->Node, Entry.ModifiedAt.value()});
+  result<home_record> Record = readHomeRecord(Entry.Value, Now);
+  Slots.push_back({Domain, Number, Record ? Record->Node : node_id(),
+                   Entry.ModifiedAt.value()});
+  if (!Record)
+    return Record.error();
   Records.push_back(std::move(*Record));
+  return std::nullopt;
 }
 
 watcher_registrar::watcher_registrar(asio::io_context &IoContext,
@@ -86,7 +87,8 @@
     co_return Election.listed(std::nullopt, Now);
   listed_watchers Listed;
   for (const store_entry &Entry : Answer->Entries)
-    Listed.add(Entry, Now);
+    if (std::optional<error> Problem = Listed.add(Entry, Now))
+      Skipped.skip(Entry, *Problem);
   Membership.addListed(Listed.Records);
   Election.listed(std::move(Listed.Slots), Now);
 }
--- a/src/chivebeam/mesh/watcher_registrar.h
+++ b/src/chivebeam/mesh/watcher_registrar.h
@@ -4,6 +4,7 @@
 #include "mesh/mesh_membership.h"
 #include "mesh/mesh_records.h"
 #include "store/config_store.h"
+#include "store/skipped_entries.h"
 
 namespace chivebeam {
 
@@ -55,6 +56,7 @@
   mesh_membership &Membership;
   watcher_election Election;
   std::optional<watcher_slot> Held;
+  skipped_entries Skipped;
   lease_id Lease;
   instant LeaseRenewedAt;
   bool Resigned = false;
@@ -66,8 +68,10 @@
   std::vector<watcher_slot> Slots;
   std::vector<home_record> Records;
 
-  /// Adds an entry; ignores one that is not the slot of a watcher.
-  void add(const store_entry &Entry, instant Now);
+  /// Adds an entry; ignores one that is not the slot of a watcher. Returns an
+  /// error if the entry can't be read. A slot with such an entry is held by
+  /// nobody.
+  std::optional<error> add(const store_entry &Entry, instant Now);
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -130,6 +130,15 @@
   return Out;
 }
 
+/// False for a record that can't be applied. The record of a node that is gone
+/// is not connected to.
+bool isUsable(const wire::home_record &In) {
+  bool HasPort = In.peer.port > 0 &&
+                 In.peer.port <= std::numeric_limits<std::uint16_t>::max();
+  bool HasPeer = HasPort && isConnectable(chivebeam::fromWire(In.peer));
+  return !In.node.empty() && (HasPeer || In.gone) && In.record.slots >= 0;
+}
+
 home_record fromWire(const wire::home_record &In, instant Now) {
   home_record Record;
   Record.Node = node_id(In.node);
@@ -351,7 +360,10 @@
   else if (!Body.empty())
     Frame.Body = std::make_shared<const std::string>(std::move(Body));
   for (const wire::home_record &Record : In->records)
-    Frame.Records.push_back(fromWire(Record, Now));
+    if (isUsable(Record))
+      Frame.Records.push_back(fromWire(Record, Now));
+    else
+      ++Frame.SkippedRecords;
   for (const wire::suspect_event &Event : In->suspects)
     Frame.Suspects.push_back(fromWire(Event, Now));
   if (In->__isset.evidence)
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -50,6 +50,8 @@
   std::optional<mesh_call> Request;
   std::optional<mesh_answer> Answer;
   std::vector<home_record> Records;
+  /// Records that the sender passed on and that can't be applied.
+  std::size_t SkippedRecords = 0;
   std::optional<evidence_report> Evidence;
   std::vector<suspect_event> Suspects; ///< in frames of kind records
   /// The sender can read the body that it asks for in parts. A process of an
--- a/src/libchivebeam/base/address.cpp
+++ b/src/libchivebeam/base/address.cpp
@@ -1,16 +1,18 @@
 #include "base/address.h"
 
+#include <array>
 #include <charconv>
 
+#include <arpa/inet.h>
+
 namespace chivebeam {
 
 namespace {
 
-/// True if Ip consists only of characters that IP addresses use; the address
-/// itself is not validated.
-bool isIpText(std::string_view Ip) {
-  return !Ip.empty() && Ip.find_first_not_of("0123456789abcdefABCDEF.:") ==
-                            std::string_view::npos;
+bool isIpAddress(const std::string &Ip) {
+  std::array<unsigned char, sizeof(in6_addr)> Bytes{};
+  return ::inet_pton(AF_INET, Ip.c_str(), Bytes.data()) == 1 ||
+         ::inet_pton(AF_INET6, Ip.c_str(), Bytes.data()) == 1;
 }
 
 } // namespace
@@ -31,10 +33,15 @@
   address Parsed;
   auto [End, Code] =
       std::from_chars(Port.data(), Port.data() + Port.size(), Parsed.Port);
-  if (Code != std::errc() || End != Port.data() + Port.size() || !isIpText(Ip))
-    return std::nullopt;
   Parsed.Ip = std::string(Ip);
+  if (Code != std::errc() || End != Port.data() + Port.size() ||
+      !isIpAddress(Parsed.Ip))
+    return std::nullopt;
   return Parsed;
 }
 
+bool isConnectable(const address &Address) {
+  return Address.Port > 0 && isIpAddress(Address.Ip);
+}
+
 } // namespace chivebeam
--- a/src/libchivebeam/base/address.h
+++ b/src/libchivebeam/base/address.h
@@ -22,5 +22,8 @@
 /// Parses "ip:port" or "[ip]:port". Returns nothing if Text is malformed or
 /// contains a host name.
 std::optional<address> parseAddress(std::string_view Text);
+/// True if a connection can be opened to the address: it has a valid IP address
+/// and a port above 0. Thread safe.
+bool isConnectable(const address &Address);
 
 } // namespace chivebeam
--- a/tests/base/object_reader_test.cpp
+++ b/tests/base/object_reader_test.cpp
@@ -81,6 +81,12 @@
 BOOST_AUTO_TEST_CASE(addresses_are_ip_and_port) {
   BOOST_TEST(parseAddress("127.0.0.1:80")->text() == "127.0.0.1:80");
   BOOST_TEST(parseAddress("[::1]:80")->text() == "[::1]:80");
+  for (std::string Text : {"300.1.1.1:80", "1.2.3:80", "1.2.3.4.5:80",
+                           ":::::80", "a:b:c:80", "127.0.0.1:65536"})
+    BOOST_TEST(!parseAddress(Text).has_value(), Text);
+  BOOST_TEST(isConnectable({"127.0.0.1", 1}));
+  BOOST_TEST(!isConnectable({"127.0.0.1", 0}));
+  BOOST_TEST(!isConnectable({"300.1.1.1", 1}));
   for (std::string_view Text : {"", ":80", "host:80", "127.0.0.1", "127.0.0.1:",
                                 "127.0.0.1:70000", "127.0.0.1:8x"})
     BOOST_TEST(!parseAddress(Text).has_value(), Text);
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -167,3 +167,21 @@
     BOOST_TEST(Page->Entries[0].Key == "k/105");
   });
 }
+
+// Guards against a listing that ends, or is read without end, at items that
+// can't be read.
+BOOST_AUTO_TEST_CASE(unreadable_items_hide_no_others) {
+  store_fixture Fixture;
+  Fixture.Server.PageItems = 3;
+  Fixture.run([&]() -> awaitable<void> {
+    for (unsigned Number = 10; Number < 30; ++Number)
+      Fixture.Server.put("k/" + std::to_string(Number),
+                         Number % 10 == 0 ? "good" : "!raw, no base64");
+    Fixture.Server.put("k/\xff\xfe", "good");
+    auto Read = co_await Fixture.Client.range("k/", true);
+    BOOST_REQUIRE(Read);
+    BOOST_REQUIRE(Read->Entries.size() == 3u);
+    BOOST_TEST(Read->Entries[1].Key == "k/20");
+    BOOST_TEST(Read->Entries[2].Key == "k/\xff\xfe");
+  });
+}
--- a/tests/stand_ins/platform_store.cpp
+++ b/tests/stand_ins/platform_store.cpp
@@ -152,7 +152,9 @@
                       std::uint64_t Revision, std::uint64_t Created,
                       std::uint64_t Lease) {
   return {{"key", Key},
-          {"value", encodeBase64(Value)},
+          {"value", Value.starts_with(platform_store::RawPrefix)
+                        ? Value
+                        : encodeBase64(Value)},
           {"revision", Revision},
           {"created", Created},
           {"lease", Lease}};
--- a/tests/stand_ins/platform_store.h
+++ b/tests/stand_ins/platform_store.h
@@ -49,6 +49,9 @@
   /// are cut.
   void restoreCopy();
 
+  /// A value that begins so is sent as it is and not as base64.
+  static constexpr std::string_view RawPrefix = "!raw";
+
   switches Switches;
   unsigned Calls = 0;          ///< all calls, including refused ones
   unsigned StaleReads = 0;     ///< pages read with serializable=1
