--- a/src/chivebeam/mesh/frame_channel.cpp
+++ b/src/chivebeam/mesh/frame_channel.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxWaitingFrameBytes = 32 << 20;
 /// The connection is closed if bytes wait and none is taken for this time.
 constexpr milliseconds StuckLimit{5'000};
+/// This process was suspended if it did not check for longer than this.
+constexpr milliseconds MaxCheckGap{1'000};
 /// Unsent bytes in the socket's buffer. Frames wait behind them, so they must
 /// take little time on a slow link.
 constexpr int MaxUnsentBytes = 128 << 10;
@@ -102,6 +104,9 @@
 }
 
 void frame_channel::closeIfStuck(instant Now) {
+  if (Now > StuckCheckedAt + MaxCheckGap)
+    LastProgress = std::max(LastProgress, Now);
+  StuckCheckedAt = Now;
   if (!Open || !Writing || Now < LastProgress + StuckLimit)
     return;
   log_event("peer_stuck")
--- a/src/chivebeam/mesh/frame_channel.h
+++ b/src/chivebeam/mesh/frame_channel.h
@@ -30,7 +30,8 @@
   void cancelBody(std::uint64_t Call) { Outgoing.removeBody(Call); }
   void close();
   /// Closes the connection if the other side has taken no byte for a while
-  /// although bytes wait.
+  /// although bytes wait. Must be called several times a second; time in which
+  /// it was not called doesn't count, since this process was suspended.
   void closeIfStuck(instant Now);
   bool isOpen() const { return Open; }
   instant lastReceived() const { return LastReceived; }
@@ -54,6 +55,7 @@
   outgoing_queue Outgoing;
   bool Writing = false;
   instant LastProgress; ///< when the other side last took bytes
+  instant StuckCheckedAt;
   bool Open = true;
   instant LastReceived;
   frame_handler OnFrame;
