--- a/tests/mesh/crashing_answer_test.cpp
+++ b/tests/mesh/crashing_answer_test.cpp
@@ -61,10 +61,11 @@
 
   /// Sends the request to the next node, under a new id.
   awaitable<void> sendCrashing() {
+    std::size_t Entry = Sent++ % size();
     std::string Id = End.Name + "-" + std::to_string(Sent);
     std::string Bytes = get(Path + End.Name, Id, End.DeadlineMs);
     caller Caller(context());
-    co_await Caller.connect(node(Sent++ % size()).settings().Callers);
+    co_await Caller.connect(node(Entry).settings().Callers);
     co_await Caller.send(std::move(Bytes));
     if (End.CallerLeavesAfter.count() > 0) {
       co_await pause(End.CallerLeavesAfter);
