Share what tests of crashing requests count, and wait for conditions

Cases of body_parts waited for fixed times, which a busy machine exceeds; they wait until the messages have arrived.

--- a/tests/mesh/body_parts_test.cpp
+++ b/tests/mesh/body_parts_test.cpp
@@ -18,6 +18,15 @@
 
 constexpr std::size_t BodyBytes = 40 * MaxPartBytes;
 constexpr milliseconds MessageTime{50};
+constexpr seconds ConditionLimit{10};
+
+/// Waits until a condition holds; fails the test if it never does.
+awaitable<void> until(std::function<bool()> Condition) {
+  instant GiveUpAt = currentTime() + ConditionLimit;
+  while (!Condition() && currentTime() < GiveUpAt)
+    co_await sleepFor(milliseconds(1));
+  BOOST_TEST(Condition(), "a condition never held");
+}
 
 /// A link to a home node that a test plays by hand.
 struct played_home {
@@ -46,7 +55,7 @@
           Home = std::make_shared<frame_channel>(std::move(Socket));
           Home->start([this](peer_frame Frame) { Received.push_back(Frame); },
                       [] {});
-          co_await sleepFor(MessageTime);
+          co_await until([this] { return callNumber(0) > 0; });
           co_await Test();
           Ended = true;
           Context.stop();
@@ -85,6 +94,24 @@
     Home->send(Frame);
   }
 
+  /// Answers the call that was sent as the second; Bytes of a body follow in
+  /// parts.
+  void answerSecond(std::uint64_t Bytes) {
+    peer_frame Frame;
+    Frame.Kind = frame_kind::answer;
+    Frame.Call = callNumber(1);
+    Frame.Answer = emptyAnswer(attempt_outcome::answered, "");
+    Frame.Answer->Status = 200;
+    Frame.PartedBytes = Bytes;
+    Home->send(Frame);
+  }
+
+  /// Sends parts of the body of that answer.
+  void sendAnswerBody(std::size_t Bytes) {
+    Home->sendBody(callNumber(1),
+                   std::make_shared<const std::string>(Bytes, 'a'), nullptr);
+  }
+
   std::size_t count(frame_kind Kind) const {
     return static_cast<std::size_t>(std::count_if(
         Received.begin(), Received.end(),
@@ -110,8 +137,9 @@
   played_home Peer;
   Peer.run([&]() -> awaitable<void> {
     Peer.requestBody(true);
-    co_await sleepFor(4 * MessageTime);
-    BOOST_TEST(Peer.count(frame_kind::body_part) == BodyBytes / MaxPartBytes);
+    co_await until([&] {
+      return Peer.count(frame_kind::body_part) == BodyBytes / MaxPartBytes;
+    });
     BOOST_TEST(Peer.count(frame_kind::body) == 0u);
   });
 }
@@ -122,9 +150,8 @@
   played_home Peer;
   Peer.run([&]() -> awaitable<void> {
     Peer.requestBody(false);
-    co_await sleepFor(4 * MessageTime);
+    co_await until([&] { return Peer.count(frame_kind::body) == 1; });
     BOOST_TEST(Peer.count(frame_kind::body_part) == 0u);
-    BOOST_REQUIRE(Peer.count(frame_kind::body) == 1u);
     BOOST_TEST(Peer.Received.back().Body->size() == BodyBytes);
   });
 }
@@ -135,7 +162,7 @@
   played_home Peer;
   Peer.run([&]() -> awaitable<void> {
     Peer.Home->close();
-    co_await sleepFor(MessageTime);
+    co_await until([&] { return Peer.Answers.contains("upload"); });
     BOOST_TEST((Peer.Answers["upload"].Outcome == attempt_outcome::not_sent));
   });
   played_home Cut;
@@ -144,7 +171,7 @@
     while (Cut.count(frame_kind::body_part) == 0)
       co_await sleepFor(milliseconds(0));
     Cut.Home->close();
-    co_await sleepFor(MessageTime);
+    co_await until([&] { return Cut.Answers.contains("upload"); });
     bool HadAll = Cut.count(frame_kind::body_part) == BodyBytes / MaxPartBytes;
     attempt_outcome Outcome = Cut.Answers["upload"].Outcome;
     BOOST_TEST((Outcome == attempt_outcome::not_sent || HadAll));
@@ -159,7 +186,7 @@
     while (Peer.count(frame_kind::body_part) < BodyBytes / MaxPartBytes)
       co_await sleepFor(milliseconds(1));
     Peer.Home->close();
-    co_await sleepFor(MessageTime);
+    co_await until([&] { return Peer.Answers.contains("upload"); });
     BOOST_TEST((Peer.Answers["upload"].Outcome == attempt_outcome::lost));
   });
 }
@@ -172,8 +199,7 @@
     while (Peer.count(frame_kind::body_part) == 0)
       co_await sleepFor(milliseconds(0));
     Peer.Cancel.raise();
-    co_await sleepFor(4 * MessageTime);
-    BOOST_TEST(Peer.count(frame_kind::cancel) == 1u);
+    co_await until([&] { return Peer.count(frame_kind::cancel) == 1; });
     std::size_t Parts = Peer.count(frame_kind::body_part);
     co_await sleepFor(MessageTime);
     BOOST_TEST(Peer.count(frame_kind::body_part) == Parts);
@@ -185,21 +211,12 @@
   played_home Peer;
   Peer.run([&]() -> awaitable<void> {
     Peer.send("read", 0);
-    co_await sleepFor(MessageTime);
-    peer_frame Frame;
-    Frame.Kind = frame_kind::answer;
-    Frame.Call = Peer.callNumber(1);
-    Frame.Answer = emptyAnswer(attempt_outcome::answered, "");
-    Frame.Answer->Status = 200;
-    Frame.PartedBytes = BodyBytes;
-    Peer.Home->send(Frame);
+    co_await until([&] { return Peer.callNumber(1) > 0; });
+    Peer.answerSecond(BodyBytes);
     co_await sleepFor(MessageTime);
     BOOST_TEST(!Peer.Answers.contains("read"));
-    Peer.Home->sendBody(Frame.Call,
-                        std::make_shared<const std::string>(BodyBytes, 'a'),
-                        nullptr);
-    co_await sleepFor(4 * MessageTime);
-    BOOST_REQUIRE(Peer.Answers.contains("read"));
+    Peer.sendAnswerBody(BodyBytes);
+    co_await until([&] { return Peer.Answers.contains("read"); });
     BOOST_TEST(Peer.Answers["read"].Status == 200u);
     BOOST_TEST(*Peer.Answers["read"].Body == std::string(BodyBytes, 'a'));
   });
@@ -211,20 +228,12 @@
   played_home Peer;
   Peer.run([&]() -> awaitable<void> {
     Peer.send("read", 0);
-    co_await sleepFor(MessageTime);
-    peer_frame Frame;
-    Frame.Kind = frame_kind::answer;
-    Frame.Call = Peer.callNumber(1);
-    Frame.Answer = emptyAnswer(attempt_outcome::answered, "");
-    Frame.Answer->Status = 200;
-    Frame.PartedBytes = BodyBytes;
-    Peer.Home->send(Frame);
-    Peer.Home->sendBody(Frame.Call,
-                        std::make_shared<const std::string>(BodyBytes - 1, 'a'),
-                        nullptr);
+    co_await until([&] { return Peer.callNumber(1) > 0; });
+    Peer.answerSecond(BodyBytes);
+    Peer.sendAnswerBody(BodyBytes - 1);
     co_await sleepFor(4 * MessageTime);
     Peer.Home->close();
-    co_await sleepFor(MessageTime);
+    co_await until([&] { return Peer.Answers.contains("read"); });
     BOOST_TEST((Peer.Answers["read"].Outcome == attempt_outcome::lost));
     BOOST_TEST(Peer.Answers["read"].Status == 0u);
   });
@@ -235,14 +244,9 @@
   played_home Peer;
   Peer.run([&]() -> awaitable<void> {
     Peer.send("read", 0);
-    co_await sleepFor(MessageTime);
-    peer_frame Frame;
-    Frame.Kind = frame_kind::answer;
-    Frame.Call = Peer.callNumber(1);
-    Frame.Answer = emptyAnswer(attempt_outcome::answered, "");
-    Frame.PartedBytes = MaxAnswerBytes + 1;
-    Peer.Home->send(Frame);
-    co_await sleepFor(MessageTime);
+    co_await until([&] { return Peer.callNumber(1) > 0; });
+    Peer.answerSecond(MaxAnswerBytes + 1);
+    co_await until([&] { return Peer.Answers.contains("read"); });
     BOOST_TEST((Peer.Answers["read"].Outcome == attempt_outcome::lost));
   });
 }
--- a/tests/mesh/crashing_answer_test.cpp
+++ b/tests/mesh/crashing_answer_test.cpp
@@ -1,6 +1,5 @@
 // Tests a request that crashes every backend server that runs it while the
 // server answers, or after this node gave the call up.
-#include <algorithm>
 
 #include <boost/test/unit_test.hpp>
 
@@ -75,24 +74,8 @@
     BOOST_TEST(statusOf(Answer) >= 500u, End.Name);
   }
 
-  unsigned crashes() {
-    unsigned Sum = 0;
-    for (std::size_t Index = 0; Index < size(); ++Index)
-      Sum += worker(Index).Crashes;
-    return Sum;
-  }
-
   /// Returns how often the request has reached servers.
-  long runs() {
-    long Sum = 0;
-    for (std::size_t Index = 0; Index < size(); ++Index)
-      Sum += std::count_if(worker(Index).Received.begin(),
-                           worker(Index).Received.end(),
-                           [&](const request &Request) {
-                             return Request.target() == Path + End.Name;
-                           });
-    return Sum;
-  }
+  long runs() const { return runsOf(Path + End.Name); }
 
   /// Lets the request crash three servers and checks that it reaches few more.
   awaitable<void> checkRefusedAfterwards(server_end NewEnd) {
--- a/tests/mesh/crashing_request_test.cpp
+++ b/tests/mesh/crashing_request_test.cpp
@@ -1,6 +1,5 @@
 // Tests a request that crashes every backend server that runs it and comes
 // again at any node, each time under a new id.
-#include <algorithm>
 #include <cstdlib>
 
 #include <boost/test/unit_test.hpp>
@@ -48,24 +47,8 @@
     co_await pause(seconds(1));
   }
 
-  unsigned crashes() {
-    unsigned Sum = 0;
-    for (std::size_t Index = 0; Index < size(); ++Index)
-      Sum += worker(Index).Crashes;
-    return Sum;
-  }
-
   /// Returns how often the crashing request has reached servers.
-  long runs() {
-    long Sum = 0;
-    for (std::size_t Index = 0; Index < size(); ++Index)
-      Sum += std::count_if(worker(Index).Received.begin(),
-                           worker(Index).Received.end(),
-                           [](const request &Request) {
-                             return Request.target() == CrashingTarget;
-                           });
-    return Sum;
-  }
+  long runs() const { return runsOf(CrashingTarget); }
 
   /// Sends the crashing request to the next node, under a new id.
   awaitable<std::optional<text_answer>> retryCrashing() {
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -75,6 +75,21 @@
   keepForever(std::move(Nodes));
 }
 
+unsigned mesh_fixture::crashes() const {
+  unsigned Sum = 0;
+  for (const auto &Worker : Workers)
+    Sum += Worker->Crashes;
+  return Sum;
+}
+
+long mesh_fixture::runsOf(const std::string &Target) const {
+  long Sum = 0;
+  for (const auto &Worker : Workers)
+    for (const auto &Request : Worker->Received)
+      Sum += Request.target() == Target ? 1 : 0;
+  return Sum;
+}
+
 awaitable<void> mesh_fixture::crashServer(std::size_t Index) {
   mesh_worker &Worker = *Workers[Index];
   Worker.Server->crash();
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -66,6 +66,10 @@
     return node(Index).configNumber() == config_number(Number);
   }
   mesh_worker &worker(std::size_t Index) { return *Workers[Index]; }
+  /// Returns how often backend servers have crashed.
+  unsigned crashes() const;
+  /// Returns how often a request to this target has reached backend servers.
+  long runsOf(const std::string &Target) const;
   stand_ins::platform_store &store() { return *Store; }
   /// Sets whether the store answers no call of this node.
   void cutFromStore(std::size_t Index, bool IsCut) {
