--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -268,8 +268,8 @@
                                             worker_start Start,
                                             exchange_outcome End,
                                             mesh_answer &Answer) {
-  // Without a server that ended, such an answer is whole, so the call is only
-  // noted if it did.
+  // An answer without a length is whole unless the server ended, so its call is
+  // noted only then.
   if (End == exchange_outcome::server_closed)
     Broken.add(Call.Fingerprint, Start, currentTime());
   bool IsGone = co_await checkServerGone(Start);
