--- a/src/chivebeam/mesh/call_protocol.cpp
+++ b/src/chivebeam/mesh/call_protocol.cpp
@@ -14,6 +14,8 @@
     return "may_have_run";
   case own_answer::out_of_time:
     return "out_of_time";
+  case own_answer::unauthorized:
+    return "unauthorized";
   case own_answer::bad_request:
     return "bad_request";
   case own_answer::header_too_large:
--- a/src/chivebeam/mesh/call_protocol.h
+++ b/src/chivebeam/mesh/call_protocol.h
@@ -21,6 +21,7 @@
   not_run,      ///< the call has not run and never will
   may_have_run, ///< the call may have run, but there is no complete answer
   out_of_time,  ///< as may_have_run, after the deadline of the call
+  unauthorized, ///< no workspace holds the API key of the call
   bad_request,  ///< the request is malformed
   header_too_large,
   body_too_large,
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -33,6 +33,9 @@
   instant Deadline;
   instant Goal; ///< latency goal: a later answer is worth less
   unsigned Urgency = 0;
+  /// Of the caller's API key; empty for anonymous and nested calls.
+  workspace_name Workspace;
+  unsigned WorkspacePriority = 0; ///< 0 is the highest
   bool Idempotent = false;
   /// Similar calls that the entry node refused without asking a home node
   /// since it last sent one.
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -194,6 +194,11 @@
   Out.fingerprint = static_cast<std::int64_t>(Call.Fingerprint.value());
   if (Call.KnownRateLimit)
     Out.__set_rate_limit(Call.KnownRateLimit->PerSecond);
+  if (!Call.Workspace.empty())
+    Out.__set_workspace(Call.Workspace.str());
+  if (Call.WorkspacePriority > 0)
+    Out.__set_workspace_priority(
+        static_cast<std::int32_t>(Call.WorkspacePriority));
   return Out;
 }
 
@@ -221,6 +226,10 @@
       call_fingerprint(static_cast<std::uint64_t>(In.fingerprint));
   if (In.__isset.rate_limit && In.rate_limit >= 0)
     Call.KnownRateLimit = call_rate{In.rate_limit};
+  if (In.__isset.workspace)
+    Call.Workspace = workspace_name(std::move(In.workspace));
+  if (In.__isset.workspace_priority)
+    Call.WorkspacePriority = toCount(In.workspace_priority);
   return Call;
 }
 
--- a/src/libchivebeam/config/rule_set.h
+++ b/src/libchivebeam/config/rule_set.h
@@ -9,6 +9,7 @@
 #include "base/names.h"
 #include "base/units.h"
 #include "config/caller_limits.h"
+#include "config/workspace.h"
 
 namespace chivebeam {
 
@@ -36,6 +37,8 @@
   /// Backend servers that one call may be sent to. Zero: limited only by the
   /// retry budget.
   unsigned MaxWorkers = 0;
+  /// Calls need no API key even if the configuration has workspaces.
+  bool AllowsAnonymous = false;
 };
 
 /// A gradual change (rollout) of one service's traffic to another version.
@@ -54,6 +57,7 @@
   std::vector<route_rule> Routes;
   std::vector<move_rule> Moves;
   caller_limits Limits;
+  std::vector<workspace> Workspaces; ///< empty: calls need no API key
 };
 
 /// Reads and validates one move. Appends all errors found to Errors.
--- a/src/libchivebeam/config/snapshot.cpp
+++ b/src/libchivebeam/config/snapshot.cpp
@@ -31,6 +31,27 @@
   return nullptr;
 }
 
+const workspace *snapshot::findWorkspace(const workspace_name &Name) const {
+  auto Found = Workspaces.find(Name);
+  return Found == Workspaces.end() ? nullptr : &Found->second;
+}
+
+const workspace *snapshot::findWorkspaceOf(const api_key &Key) const {
+  auto [First, Last] = WorkspacesByKey.equal_range(Key.hash());
+  for (auto Entry = First; Entry != Last; ++Entry) {
+    const std::vector<api_key> &Keys = Entry->second->Keys;
+    if (std::find(Keys.begin(), Keys.end(), Key) != Keys.end())
+      return Entry->second;
+  }
+  return nullptr;
+}
+
+void snapshot::indexKeys() {
+  for (const auto &[Name, Workspace] : Workspaces)
+    for (const api_key &Key : Workspace.Keys)
+      WorkspacesByKey.emplace(Key.hash(), &Workspace);
+}
+
 void snapshot::indexRoutes() {
   for (const route_rule &Rule : Routes) {
     RoutesByPrefix[Rule.PathPrefix].push_back(&Rule);
--- a/src/libchivebeam/config/snapshot_builder.cpp
+++ b/src/libchivebeam/config/snapshot_builder.cpp
@@ -1,6 +1,7 @@
 #include "config/snapshot_builder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <unordered_map>
 
@@ -109,12 +110,16 @@
   Snapshot->Routes = Rules.Routes;
   Snapshot->Moves = Rules.Moves;
   Snapshot->Limits = Rules.Limits;
+  for (const workspace &Workspace : Rules.Workspaces)
+    Snapshot->Workspaces.emplace(Workspace.Name, Workspace);
   checkRoutes();
   checkMoves();
+  checkWorkspaces();
   if (!Errors.empty())
     return tl::unexpected(std::move(Errors));
   sortRoutes();
   Snapshot->indexRoutes();
+  Snapshot->indexKeys();
   Snapshot->Digest = computeDigest();
   return snapshot_ptr(std::move(Snapshot));
 }
@@ -196,6 +201,49 @@
       [](const move_rule &Rule) { return Rule.Service.str(); }, Errors);
 }
 
+void snapshot_builder::checkWorkspaces() {
+  for (std::size_t Index = 0; Index < Rules.Workspaces.size(); ++Index) {
+    const workspace &Workspace = Rules.Workspaces[Index];
+    std::string Path = "/workspaces/" + std::to_string(Index);
+    auto Refuse = [&](std::string Field, std::string What, std::string Remedy) {
+      Errors.push_back({error_kind::invalid_input, Path + "/" + Field,
+                        std::move(What), std::move(Remedy)});
+    };
+    if (Workspace.Name.empty())
+      Refuse("name", "is empty", "give the workspace a name");
+    const usage_cap &Cap = Workspace.Cap;
+    if (!std::isfinite(Cap.RatePerSecond) || Cap.RatePerSecond < 0)
+      Refuse("rate", "is negative or not a number",
+             "set the calls a second, or leave it out for no limit");
+    if (!std::isfinite(Cap.Burst) || Cap.Burst < 0)
+      Refuse("burst", "is negative or not a number",
+             "set the calls beyond the rate, or leave it out");
+    if (Cap.Burst > 0 && !Cap.isLimited())
+      Refuse("burst", "has no rate",
+             "set a rate beside it, or leave out the burst");
+    checkKeys(Workspace, Path);
+  }
+  rejectDuplicateRules(
+      Rules.Workspaces, "workspaces", "name",
+      [](const workspace &Rule) { return Rule.Name.str(); }, Errors);
+}
+
+void snapshot_builder::checkKeys(const workspace &Workspace,
+                                 const std::string &Path) {
+  for (std::size_t Index = 0; Index < Workspace.Keys.size(); ++Index) {
+    const api_key &Key = Workspace.Keys[Index];
+    std::string KeyPath = Path + "/keys/" + std::to_string(Index);
+    if (Key.empty())
+      Errors.push_back({error_kind::invalid_input, KeyPath, "is empty",
+                        "write the key or remove it"});
+    // The message names no key, since it is logged.
+    else if (!KnownKeys.insert(Key.secret()).second)
+      Errors.push_back({error_kind::conflict, KeyPath,
+                        "the key stands twice",
+                        "give each workspace keys of its own"});
+  }
+}
+
 void snapshot_builder::sortRoutes() {
   std::sort(Snapshot->Routes.begin(), Snapshot->Routes.end(), isMoreSpecific);
 }
@@ -226,6 +274,8 @@
     Digest.add(Route.Deadline.count());
     Digest.add(Route.RetryBudgetPercent);
     addOptionalRouteFields(Digest, Route);
+    if (Route.AllowsAnonymous)
+      Digest.add("anonymous");
   }
   for (const move_rule &Move : Snapshot->Moves) {
     Digest.add(Move.Id.str());
@@ -235,6 +285,14 @@
     Digest.add(Move.Start.time_since_epoch().count());
     Digest.add(Move.Deadline.time_since_epoch().count());
   }
+  for (const auto &[Name, Workspace] : Snapshot->Workspaces) {
+    Digest.add(Name.str());
+    Digest.add(Workspace.Priority);
+    Digest.add(std::to_string(Workspace.Cap.RatePerSecond));
+    Digest.add(std::to_string(Workspace.Cap.Burst));
+    for (const api_key &Key : Workspace.Keys)
+      Digest.add(Key.secret());
+  }
   return Digest.finish();
 }
 
--- a/src/libchivebeam/config/snapshot_builder.h
+++ b/src/libchivebeam/config/snapshot_builder.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <set>
+
 #include "config/snapshot.h"
 
 namespace chivebeam {
@@ -19,6 +21,8 @@
   void checkRoutes();
   void checkRouteOverlaps();
   void checkMoves();
+  void checkWorkspaces();
+  void checkKeys(const workspace &Workspace, const std::string &Path);
   void checkMove(const move_rule &Move, const std::string &Path);
   /// Appends an error at Path if the register has no such service.
   void requireService(const service_name &Service, const std::string &Path);
@@ -33,6 +37,7 @@
   rule_set Rules;
   std::shared_ptr<snapshot> Snapshot;
   error_list Errors;
+  std::set<std::string_view> KnownKeys; ///< they point into Rules
 };
 
 } // namespace chivebeam
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -194,6 +194,10 @@
   // Calls a second that the backend server takes, as it said in the last answer
   // that the entry node passed on; absent if it named no limit.
   18: optional double rate_limit
+  // Workspace of the caller; absent for anonymous and nested calls.
+  19: optional string workspace
+  // Priority of the workspace; absent if it is zero.
+  20: optional i32 workspace_priority
 }
 
 struct call_answer {
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -3420,6 +3420,16 @@
   this->rate_limit = val;
 __isset.rate_limit = true;
 }
+
+void call_request::__set_workspace(const std::string& val) {
+  this->workspace = val;
+__isset.workspace = true;
+}
+
+void call_request::__set_workspace_priority(const int32_t val) {
+  this->workspace_priority = val;
+__isset.workspace_priority = true;
+}
 std::ostream& operator<<(std::ostream& out, const call_request& obj)
 {
   obj.printTo(out);
@@ -3604,6 +3614,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->workspace_priority);
+          this->__isset.workspace_priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3702,6 +3728,16 @@
     xfer += oprot->writeDouble(this->rate_limit);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.workspace) {
+    xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 19);
+    xfer += oprot->writeString(this->workspace);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.workspace_priority) {
+    xfer += oprot->writeFieldBegin("workspace_priority", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->workspace_priority);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3727,6 +3763,8 @@
   swap(a.offered_bytes, b.offered_bytes);
   swap(a.fingerprint, b.fingerprint);
   swap(a.rate_limit, b.rate_limit);
+  swap(a.workspace, b.workspace);
+  swap(a.workspace_priority, b.workspace_priority);
   swap(a.__isset, b.__isset);
 }
 
@@ -3749,6 +3787,8 @@
   offered_bytes = other88.offered_bytes;
   fingerprint = other88.fingerprint;
   rate_limit = other88.rate_limit;
+  workspace = other88.workspace;
+  workspace_priority = other88.workspace_priority;
   __isset = other88.__isset;
 }
 call_request& call_request::operator=(const call_request& other89) {
@@ -3770,6 +3810,8 @@
   offered_bytes = other89.offered_bytes;
   fingerprint = other89.fingerprint;
   rate_limit = other89.rate_limit;
+  workspace = other89.workspace;
+  workspace_priority = other89.workspace_priority;
   __isset = other89.__isset;
   return *this;
 }
@@ -3794,6 +3836,8 @@
   out << ", " << "offered_bytes=" << to_string(offered_bytes);
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "rate_limit="; (__isset.rate_limit ? (out << to_string(rate_limit)) : (out << "<null>"));
+  out << ", " << "workspace="; (__isset.workspace ? (out << to_string(workspace)) : (out << "<null>"));
+  out << ", " << "workspace_priority="; (__isset.workspace_priority ? (out << to_string(workspace_priority)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1344,7 +1344,7 @@
 std::ostream& operator<<(std::ostream& out, const home_record& obj);
 
 typedef struct _call_request__isset {
-  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false), fingerprint(false), rate_limit(false) {}
+  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false), fingerprint(false), rate_limit(false), workspace(false), workspace_priority(false) {}
   bool id :1;
   bool service_name :1;
   bool route :1;
@@ -1363,6 +1363,8 @@
   bool offered_bytes :1;
   bool fingerprint :1;
   bool rate_limit :1;
+  bool workspace :1;
+  bool workspace_priority :1;
 } _call_request__isset;
 
 class call_request : public virtual ::apache::thrift::TBase {
@@ -1387,7 +1389,9 @@
                  usual_us(0),
                  offered_bytes(0),
                  fingerprint(0),
-                 rate_limit(0) {
+                 rate_limit(0),
+                 workspace(),
+                 workspace_priority(0) {
   }
 
   virtual ~call_request() noexcept;
@@ -1409,6 +1413,8 @@
   int64_t offered_bytes;
   int64_t fingerprint;
   double rate_limit;
+  std::string workspace;
+  int32_t workspace_priority;
 
   _call_request__isset __isset;
 
@@ -1448,6 +1454,10 @@
 
   void __set_rate_limit(const double val);
 
+  void __set_workspace(const std::string& val);
+
+  void __set_workspace_priority(const int32_t val);
+
   bool operator == (const call_request & rhs) const
   {
     if (!(id == rhs.id))
@@ -1488,6 +1498,14 @@
       return false;
     else if (__isset.rate_limit && !(rate_limit == rhs.rate_limit))
       return false;
+    if (__isset.workspace != rhs.__isset.workspace)
+      return false;
+    else if (__isset.workspace && !(workspace == rhs.workspace))
+      return false;
+    if (__isset.workspace_priority != rhs.__isset.workspace_priority)
+      return false;
+    else if (__isset.workspace_priority && !(workspace_priority == rhs.workspace_priority))
+      return false;
     return true;
   }
   bool operator != (const call_request &rhs) const {
