Run idempotent requests that callers send ahead at once

Requests on one connection ran one after the other, so that those sent before the first answer waited for it before any server ran them. Answers keep the order. The end of the connection cancels all its calls; what is behind an answer that closes the connection does not start.

Reads have time limits of their own now, since those of Beast's stream close the socket and with it the answers before. So a request that arrives too slowly gets its 408, which the closed socket could not carry before.

--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -20,7 +20,8 @@
 /// A caller that does not receive the whole answer within this time is
 /// disconnected.
 constexpr seconds AnswerWriteTimeout{15};
-constexpr std::size_t ReadBytes = 4 << 10;
+/// A wait without an end is renewed after this time.
+constexpr seconds MaxWait{60};
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
 
@@ -29,11 +30,14 @@
 caller_session::caller_session(session_context &SessionContext,
                                tcp::socket Socket)
     : Shared(SessionContext), Stream(std::move(Socket)),
-      Watch(Stream.socket()) {}
+      Reader(Stream.socket()), Watch(Stream.socket()),
+      Changed(Stream.get_executor()) {}
 
 awaitable<void> caller_session::run() {
   for (bool Open = true; Open;)
     Open = co_await serveRequest();
+  while (OpenCalls > 0)
+    co_await awaitChange();
   if (Stream.socket().is_open())
     co_await closeGracefully(Stream);
 }
@@ -41,16 +45,46 @@
 void caller_session::closeIfIdle() {
   // A request may have arrived since the last event was handled.
   char Byte = 0;
-  if (!Idle || ::recv(Stream.socket().native_handle(), &Byte, 1,
-                      MSG_PEEK | MSG_DONTWAIT) > 0)
+  if (isBusy() || ::recv(Stream.socket().native_handle(), &Byte, 1,
+                         MSG_PEEK | MSG_DONTWAIT) > 0)
     return;
   CloseRequested = true;
-  Stream.cancel();
+  Reader.interrupt();
 }
 
 void caller_session::extendIdleTime() {
-  if (Idle && IdleSince + limits().IdleTimeout > IdleUntil)
-    Stream.cancel();
+  if (!isBusy() && IdleSince + limits().IdleTimeout > IdleUntil)
+    Reader.interrupt();
+}
+
+void caller_session::leave() {
+  if (std::exchange(Gone, true))
+    return;
+  Answers.cancelCalls();
+  Stream.close();
+  Reader.interrupt();
+  Changed.cancel();
+}
+
+bool caller_session::mayServe() const {
+  // While draining, the last answer closes the connection, so that nothing may
+  // start behind it.
+  return !Gone && !Closing && (!Shared.Draining || Answers.isEmpty());
+}
+
+awaitable<void> caller_session::awaitChange() {
+  if (!Gone)
+    Watch.start([this] { leave(); });
+  Changed.expires_after(MaxWait);
+  error_code Ignored;
+  co_await Changed.async_wait(orError(Ignored));
+  Watch.stop();
+}
+
+awaitable<bool> caller_session::awaitTurn(bool Idempotent) {
+  while (mayServe() && !(Answers.hasRoom() && Answers.mayStart(Idempotent)))
+    co_await awaitChange();
+  co_return mayServe();
 }
 
 caller_limits caller_session::limits() const {
@@ -71,41 +105,42 @@
 awaitable<bool> caller_session::awaitRequest() {
   error_code Code;
   CloseRequested = false;
-  Idle = true;
+  Awaiting = true;
   IdleSince = currentTime();
   IdleUntil = IdleSince;
   do {
     IdleUntil = std::max(IdleUntil, IdleSince + limits().IdleTimeout);
-    Stream.expires_after(IdleUntil - currentTime());
-    std::size_t Got = co_await Stream.async_read_some(Buffer.prepare(ReadBytes),
-                                                      orError(Code));
-    Buffer.commit(Got);
-  } while (Code == asio::error::operation_aborted && !CloseRequested);
-  Idle = false;
+    instant End = isBusy() ? instant::max() : IdleUntil;
+    Code = co_await Reader.awaitBytes(End);
+  } while (Code == asio::error::operation_aborted && !CloseRequested &&
+           mayServe());
+  Awaiting = false;
+  if (Code && Code != asio::error::operation_aborted && !Answers.isEmpty())
+    leave();
   co_return !Code;
 }
 
 awaitable<bool> caller_session::readHeader(request_parser &Parser) {
-  if (Buffer.size() == 0 && !co_await awaitRequest())
+  if (!Reader.hasBytes() && !co_await awaitRequest())
     co_return false;
   // The configuration may have changed during the wait.
   const caller_limits Limits = limits();
   Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
   Parser.body_limit(Limits.MaxBodyBytes);
-  error_code Code;
-  Stream.expires_after(Limits.HeaderTimeout);
-  co_await http::async_read_header(Stream, Buffer, Parser, orError(Code));
-  Stream.expires_never();
+  error_code Code =
+      co_await Reader.readHeader(Parser, currentTime() + Limits.HeaderTimeout);
   if (!Code)
     co_return true;
-  bool Gone =
+  bool NoRequest =
       Code == http::error::end_of_stream ||
       Code == http::error::partial_message ||
       (Code.category() !=
            http::make_error_code(http::error::end_of_stream).category() &&
        Code != beast::error::timeout);
-  if (!Gone)
+  if (!NoRequest)
     co_await refuse(answerTo(Code), request_id(), false);
+  else if (!Answers.isEmpty() && Code != asio::error::operation_aborted)
+    leave();
   co_return false;
 }
 
@@ -113,42 +148,45 @@
                                          instant ArrivedAt) {
   error_code Code;
   if (expectsContinue(Parser.get().base()))
-    co_await asio::async_write(Stream, asio::buffer(ContinueLine),
+    co_await asio::async_write(Stream.socket(), asio::buffer(ContinueLine),
                                orError(Code));
-  while (!Code && !Parser.is_done()) {
-    Stream.expires_after(BodyProgressTimeout);
-    co_await http::async_read_some(Stream, Buffer, Parser, orError(Code));
-  }
-  Stream.expires_never();
+  if (!Code)
+    Code = co_await Reader.readBody(Parser, BodyProgressTimeout);
   if (!Code)
     co_return true;
+  const auto &Header = Parser.get().base();
   log_event("request_incomplete")
-      .add("request", Shared.Protocol.readMetadata(Parser.get().base()).Id)
+      .add("request", Shared.Protocol.readMetadata(Header).Id)
       .add("after_us", (currentTime() - ArrivedAt).count())
       .add("error", Code.message());
   if (Code == http::error::body_limit || Code == beast::error::timeout)
-    co_await refuse(answerTo(Code),
-                    Shared.Protocol.readMetadata(Parser.get().base()).Id,
+    co_await refuse(answerTo(Code), Shared.Protocol.readMetadata(Header).Id,
                     false);
+  else if (!Answers.isEmpty() && Code != asio::error::operation_aborted)
+    leave();
   co_return false;
 }
 
 awaitable<bool> caller_session::serveRequest() {
   request_parser Parser;
-  if (!co_await readHeader(Parser))
+  if (!co_await awaitTurn(true) || !co_await readHeader(Parser))
     co_return false;
-  instant ArrivedAt = currentTime();
+  instant ArrivedAt = Reader.lastReadAt();
   const auto &Header = Parser.get();
   request_id Id = Shared.Protocol.readMetadata(Header.base()).Id;
   bool Keep = Header.keep_alive() && Parser.is_done();
   if (checkRequest(Header.base()))
     co_return co_await refuse(own_answer::bad_request, Id, false);
   auto Host = Header[http::field::host];
-  std::optional<own_answer> RouteProblem =
+  route_check Route =
       Shared.Router.checkRoute(std::string(Host), std::string(Header.target()),
                                std::string(Header.method_string()));
-  if (RouteProblem)
-    co_return co_await refuse(*RouteProblem, Id, Keep);
+  if (Route.Problem)
+    co_return co_await refuse(*Route.Problem, Id, Keep);
+  // An interim answer must not get between the answers to other requests.
+  bool MayRunAhead = Route.Idempotent && !expectsContinue(Header.base());
+  if (!co_await awaitTurn(MayRunAhead))
+    co_return false;
   std::uint64_t ContentLength = Parser.content_length().value_or(0);
   std::optional<body_reservation> Reserved =
       Shared.Bodies.reserve(ContentLength);
@@ -156,14 +194,35 @@
     Shared.Metrics.count("bodies_refused");
     co_return co_await refuse(own_answer::not_run, Id, false);
   }
-  if (!co_await readBody(Parser, ArrivedAt))
+  if (!co_await readBody(Parser, ArrivedAt) || !mayServe())
     co_return false;
-  co_return co_await runCall(Parser.release(), ArrivedAt);
+  Keep = Header.keep_alive();
+  startCall(Parser, ArrivedAt, Route.Idempotent, std::move(*Reserved));
+  co_return Keep;
+}
+
+void caller_session::startCall(request_parser &Parser, instant ArrivedAt,
+                               bool Idempotent, body_reservation Reserved) {
+  if (!Answers.isEmpty())
+    Shared.Metrics.count("calls_started_ahead");
+  auto Answer = std::make_shared<pending_answer>();
+  Answer->Idempotent = Idempotent;
+  Answers.add(Answer);
+  ++OpenCalls;
+  asio::co_spawn(
+      Stream.get_executor(),
+      runCall(Parser.release(), ArrivedAt, Answer, std::move(Reserved)),
+      [this](const std::exception_ptr &Failure) {
+        if (Failure)
+          leave();
+        --OpenCalls;
+        Changed.cancel();
+      });
 }
 
-awaitable<bool>
-caller_session::runCall(http::request<http::string_body> Request,
-                        instant ArrivedAt) {
+awaitable<void> caller_session::runCall(
+    http::request<http::string_body> Request, instant ArrivedAt,
+    std::shared_ptr<pending_answer> Answer, body_reservation) {
   caller_metadata Metadata = Shared.Protocol.readMetadata(Request.base());
   entry_request Entry;
   Entry.Id = Metadata.Id;
@@ -173,50 +232,87 @@
   Entry.Host = std::string(Request[http::field::host]);
   Entry.Fields = endToEndFields(Request.base());
   Entry.ArrivedAt = ArrivedAt;
-  bool Keep = Request.keep_alive();
-  bool HeadOnly = Request.method() == http::verb::head;
+  Answer->Keep = Request.keep_alive();
+  Answer->HeadOnly = Request.method() == http::verb::head;
   Entry.Body = std::make_shared<const std::string>(std::move(Request.body()));
-  cancel_signal Cancel;
-  Watch.start([Cancel] { Cancel.raise(); });
-  entry_result Result = co_await Shared.Router.run(std::move(Entry), Cancel);
-  Watch.stop();
+  entry_result Result =
+      co_await Shared.Router.run(std::move(Entry), Answer->Cancel);
   if (Result.Kind == entry_result::kind::caller_gone) {
-    Stream.close();
-    co_return false;
+    leave();
+    co_return;
   }
-  if (Result.Kind == entry_result::kind::served)
-    co_return co_await write(Result.Answer.Status, Result.Answer.Fields,
-                             Result.Answer.Body, Keep, HeadOnly);
-  header_list Fields =
-      Shared.Protocol.fieldsOf(Result.Own, Metadata.Id, Result.RetryAfter);
-  co_return co_await write(Shared.Protocol.statusOf(Result.Own), Fields,
-                           nullptr, Keep, HeadOnly);
+  if (Result.Kind == entry_result::kind::served) {
+    Answer->Status = Result.Answer.Status;
+    Answer->Fields = std::move(Result.Answer.Fields);
+    Answer->Body = std::move(Result.Answer.Body);
+  } else {
+    Answer->Status = Shared.Protocol.statusOf(Result.Own);
+    Answer->Fields =
+        Shared.Protocol.fieldsOf(Result.Own, Metadata.Id, Result.RetryAfter);
+  }
+  Answer->Ready = true;
+  co_await writeAnswers();
 }
 
 awaitable<bool> caller_session::refuse(own_answer Answer, const request_id &Id,
                                        bool Keep) {
   constexpr milliseconds ShortWait{100};
+  if (!mayServe())
+    co_return false;
   Shared.Metrics.count("own_answers", toString(Answer));
   log_event("refused")
       .add("request", Id)
       .add("answer", toString(Answer))
       .add("config", Shared.State.configNumber());
-  header_list Fields = Shared.Protocol.fieldsOf(Answer, Id, ShortWait);
-  co_return co_await write(Shared.Protocol.statusOf(Answer), Fields, nullptr,
-                           Keep, false);
-}
-
-awaitable<bool> caller_session::write(unsigned Status,
-                                      const header_list &Fields,
-                                      shared_body Body, bool Keep,
-                                      bool HeadOnly) {
-  Keep = Keep && !Shared.Draining;
-  std::string Head = "HTTP/1.1 " + std::to_string(Status) + " ";
-  Head += std::string(http::obsolete_reason(http::int_to_status(Status)));
+  auto Refusal = std::make_shared<pending_answer>();
+  Refusal->Idempotent = true;
+  Refusal->Keep = Keep;
+  Refusal->Status = Shared.Protocol.statusOf(Answer);
+  Refusal->Fields = Shared.Protocol.fieldsOf(Answer, Id, ShortWait);
+  Refusal->Ready = true;
+  Answers.add(Refusal);
+  co_await writeAnswers();
+  co_return Keep &&mayServe();
+}
+
+awaitable<void> caller_session::writeAnswers() {
+  if (std::exchange(Writing, true))
+    co_return;
+  while (!Gone && !Closing) {
+    std::shared_ptr<pending_answer> Answer = Answers.nextToWrite();
+    if (!Answer)
+      break;
+    bool Keep = Answer->Keep && !(Shared.Draining && Answers.isLast());
+    bool Written = co_await write(*Answer, Keep);
+    Answers.removeFirst();
+    if (Written)
+      answerWritten(Keep);
+    else
+      leave();
+  }
+  Writing = false;
+}
+
+void caller_session::answerWritten(bool Keep) {
+  Closing = !Keep;
+  bool IsIdle = Awaiting && Answers.isEmpty();
+  if (IsIdle)
+    IdleSince = currentTime();
+  if (IsIdle || Closing)
+    Reader.interrupt();
+  Changed.cancel();
+}
+
+awaitable<bool> caller_session::write(const pending_answer &Answer, bool Keep) {
+  std::string Head = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
+  Head +=
+      std::string(http::obsolete_reason(http::int_to_status(Answer.Status)));
   Head += "\r\n";
-  for (const header_field &Field : Fields)
+  for (const header_field &Field : Answer.Fields)
     Head.append(Field.Name).append(": ").append(Field.Text).append("\r\n");
-  bool HasBody = Status != NoContent && Status != NotModified && !HeadOnly;
+  const shared_body &Body = Answer.Body;
+  bool HasBody = Answer.Status != NoContent && Answer.Status != NotModified &&
+                 !Answer.HeadOnly;
   if (HasBody)
     Head.append("Content-Length: ")
         .append(std::to_string(Body ? Body->size() : 0))
@@ -232,7 +328,7 @@
   Stream.expires_after(AnswerWriteTimeout);
   co_await asio::async_write(Stream, Parts, orError(Code));
   Stream.expires_never();
-  co_return Keep && !Code;
+  co_return !Code;
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "data/disconnect_watcher.h"
+#include "mesh/answer_queue.h"
 #include "mesh/body_budget.h"
 #include "mesh/entry_router.h"
+#include "mesh/request_reader.h"
 
 namespace chivebeam {
 
@@ -17,13 +19,16 @@
 };
 
 /// Serves the connection of one caller: reads each request completely, runs it
-/// and writes the answer. Runs on one io_context; not thread safe.
+/// and writes the answers in the order of the requests. Requests that are sent
+/// ahead run at once where answer_queue allows it. Runs on one io_context; not
+/// thread safe.
 class caller_session {
 public:
   /// \pre Shared outlives the session.
   caller_session(session_context &Shared, tcp::socket Socket);
 
-  /// Serves requests; completes when the connection is closed.
+  /// Serves requests; completes when the connection is closed and its calls
+  /// have ended.
   awaitable<void> run();
   /// Closes the connection if it is waiting for a request and no byte of it has
   /// arrived.
@@ -33,33 +38,56 @@
   /// caller may not know of the change yet.
   void extendIdleTime();
   /// True while a request is read, runs or is answered.
-  bool isBusy() const { return !Idle; }
+  bool isBusy() const { return !Awaiting || !Answers.isEmpty(); }
 
 private:
-  using request_parser = http::request_parser<http::string_body>;
+  using request_parser = request_reader::parser;
 
+  /// Reads a request and starts its call; returns whether to read another.
   awaitable<bool> serveRequest();
   /// Waits for the first bytes of a request; returns false if none arrive
   /// within the idle timeout.
   awaitable<bool> awaitRequest();
   awaitable<bool> readHeader(request_parser &Parser);
   awaitable<bool> readBody(request_parser &Parser, instant ArrivedAt);
-  awaitable<bool> runCall(http::request<http::string_body> Request,
-                          instant ArrivedAt);
+  /// Waits until the queue of answers may take a request of this kind; returns
+  /// false if no further request may start.
+  awaitable<bool> awaitTurn(bool Idempotent);
+  /// Waits for a change of the answers or calls; detects that the caller is
+  /// gone meanwhile.
+  awaitable<void> awaitChange();
+  /// True if the answer to another request can be delivered.
+  bool mayServe() const;
+  void startCall(request_parser &Parser, instant ArrivedAt, bool Idempotent,
+                 body_reservation Reserved);
+  awaitable<void> runCall(http::request<http::string_body> Request,
+                          instant ArrivedAt,
+                          std::shared_ptr<pending_answer> Answer,
+                          body_reservation Reserved);
   awaitable<bool> refuse(own_answer Answer, const request_id &Id, bool Keep);
-  awaitable<bool> write(unsigned Status, const header_list &Fields,
-                        shared_body Body, bool Keep, bool HeadOnly);
+  /// Writes the answers that are ready, up to the first that is not.
+  awaitable<void> writeAnswers();
+  awaitable<bool> write(const pending_answer &Answer, bool Keep);
+  void answerWritten(bool Keep);
+  /// Ends the connection and all its calls: the caller is gone.
+  void leave();
   own_answer answerTo(const error_code &Code) const;
   /// Returns the limits of the configuration that is in force.
   caller_limits limits() const;
 
   session_context &Shared;
   beast::tcp_stream Stream;
-  disconnect_watcher Watch;
-  beast::flat_buffer Buffer;
-  bool Idle = false;
+  request_reader Reader;
+  disconnect_watcher Watch; ///< while no request is read
+  answer_queue Answers;
+  asio::steady_timer Changed; ///< cancelled at a change of Answers or OpenCalls
+  unsigned OpenCalls = 0;
+  bool Awaiting = false; ///< the first bytes of a request are awaited
+  bool Writing = false;
+  bool Closing = false; ///< the last answer was written
+  bool Gone = false;    ///< no answer can be delivered any more
   bool CloseRequested = false;
-  instant IdleUntil; ///< end of the wait for a request, while Idle is set
+  instant IdleUntil; ///< end of the wait for a request, while not busy
   instant IdleSince;
 };
 
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -65,15 +65,17 @@
   Preparer.keepOnly(State.view()->Config->routes());
 }
 
-std::optional<own_answer>
-entry_router::checkRoute(const std::string &Host, const std::string &Target,
-                         const std::string &Method) const {
+route_check entry_router::checkRoute(const std::string &Host,
+                                     const std::string &Target,
+                                     const std::string &Method) const {
   if (!State.view())
-    return own_answer::not_ready;
-  if (State.view()->Config->match(Host, pathOf(Target), Method))
-    return std::nullopt;
+    return {own_answer::not_ready};
+  const route_rule *Route =
+      State.view()->Config->match(Host, pathOf(Target), Method);
+  if (Route)
+    return {std::nullopt, Route->Idempotent};
   // The route may be in a configuration that has not arrived yet.
-  return ConfigMayBeStale() ? own_answer::not_ready : own_answer::no_route;
+  return {ConfigMayBeStale() ? own_answer::not_ready : own_answer::no_route};
 }
 
 awaitable<entry_result> entry_router::run(entry_request Request,
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -24,6 +24,13 @@
   microseconds RetryAfter{0};
 };
 
+/// What a node knows of a call before it reads the body.
+struct route_check {
+  /// Answer to a call that this node can't accept; empty if it has a route.
+  std::optional<own_answer> Problem;
+  bool Idempotent = false; ///< the route's calls may run more than once
+};
+
 /// Routes the calls that callers send to this node. Chooses route, service (by
 /// weight), version and home node of a call and decides whether a failed
 /// attempt is retried. Runs on one io_context; not thread safe.
@@ -38,11 +45,9 @@
   void setStaleConfigCheck(std::function<bool()> Check) {
     ConfigMayBeStale = Check;
   }
-  /// Returns the answer to a call that this node can't accept, before its body
-  /// is read; empty if the call has a route.
-  std::optional<own_answer> checkRoute(const std::string &Host,
-                                       const std::string &Target,
-                                       const std::string &Method) const;
+  /// Checks a call before its body is read.
+  route_check checkRoute(const std::string &Host, const std::string &Target,
+                         const std::string &Method) const;
   /// Runs a call until it is answered or refused, or its caller is gone.
   awaitable<entry_result> run(entry_request Request, cancel_signal Cancel);
 
--- /dev/null
+++ b/src/chivebeam/mesh/request_reader.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <memory>
+
+#include "base/units.h"
+#include "net/asio_types.h"
+
+namespace chivebeam {
+
+/// Reads requests from a connection while answers are written to it: the time
+/// limit of a read ends neither the connection nor a write. Runs on one
+/// io_context; not thread safe.
+class request_reader {
+public:
+  using parser = http::request_parser<http::string_body>;
+
+  /// \pre Socket outlives the reader.
+  explicit request_reader(tcp::socket &Socket);
+
+  /// Waits for the first bytes of a request. Returns operation_aborted after
+  /// interrupt and beast::error::timeout at End.
+  awaitable<error_code> awaitBytes(instant End);
+  /// Reads a header. Returns the errors of awaitBytes and of the parser.
+  awaitable<error_code> readHeader(parser &Parser, instant End);
+  /// Reads a body; each part of it must arrive within ProgressTime.
+  awaitable<error_code> readBody(parser &Parser, microseconds ProgressTime);
+  /// Ends the read that waits for bytes, if there is one.
+  void interrupt();
+  /// True if bytes of the next request are here.
+  bool hasBytes() const { return Buffer.size() > 0; }
+  /// Returns when the last bytes were read.
+  instant lastReadAt() const { return LastReadAt; }
+
+private:
+  struct state;
+
+  awaitable<error_code> readSome(std::size_t Size, instant End);
+  /// Parses what has been read: the header, or the body of an eager parser.
+  error_code parseBuffered(parser &Parser);
+
+  tcp::socket &Socket;
+  std::shared_ptr<state> State;
+  beast::flat_buffer Buffer;
+  instant LastReadAt;
+};
+
+} // namespace chivebeam
