Evacuate failure domains and spare cold backend servers

Cause: operators can order that nothing reaches the servers of a failure domain, and services say how few calls a cold server takes; nodes knew neither. Change: the orders of the store are kept as one set with era and revision, passed on in frames, left out of views and refused by home nodes. A gate at the home node keeps a server that is or may be cold at the rate of its service, counting calls that started shortly before.

--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -25,32 +25,17 @@
         serverEnded(Start, currentTime());
       }) {}
 
-void home_runner::updateWorker(const worker_report &Report) {
-  bool IsNewProcess = !Worker || Worker->Start != Report.Start;
-  Connections.setServer(Report.Start, Report.At);
-  if (IsNewProcess && Worker)
-    serverEnded(Worker->Start, currentTime());
-  if (IsNewProcess) {
-    Notices.serverStarted(Report.Start);
-    Queue.resetServiceTimes();
-    Failures.reset();
-    Evidence.clear();
+void home_runner::endOffers(const std::string &Reason) {
+  for (auto &[Number, Decide] : std::exchange(UndecidedOffers, {})) {
+    Bodies.transferEnded(call_number(Number), currentTime());
+    Decide(refusal(MinRetryAfter, Reason));
   }
-  Worker = Report;
-  instant Now = currentTime();
-  if (IsNewProcess)
-    apply(Queue.setRateLimit(std::nullopt, Now));
-  bool AcceptsCalls = Report.Worker.State == worker_state::ready && !Stopping;
-  apply(Queue.setSlots(AcceptsCalls ? Report.Worker.Slots : 0, Now));
 }
 
 void home_runner::stop() {
   Stopping = true;
-  apply(Queue.setSlots(0, currentTime()));
-  for (auto &[Number, Decide] : std::exchange(UndecidedOffers, {})) {
-    Bodies.transferEnded(call_number(Number), currentTime());
-    Decide(refusal(MinRetryAfter, "this node is stopping"));
-  }
+  updateSlots(currentTime());
+  endOffers("this node is stopping");
 }
 
 void home_runner::tick(instant Now) {
@@ -98,7 +83,8 @@
 }
 
 bool home_runner::isForCurrentWorker(const mesh_call &Call) const {
-  return Worker && !Stopping && Worker->Start.Worker == Call.Worker &&
+  return Worker && !Stopping && !Evacuated &&
+         Worker->Start.Worker == Call.Worker &&
          Worker->Worker.State == worker_state::ready;
 }
 
@@ -259,6 +245,8 @@
     if (auto Connection = co_await Connections.open())
       Connections.giveBack(std::move(Connection));
   bool IsGone = Connections.isServerGone(Start);
+  if (IsGone || Connections.isUnreachable(currentTime()))
+    serverMayHaveEnded();
   if (IsGone)
     serverEnded(Start, currentTime());
   co_return IsGone;
@@ -270,8 +258,10 @@
                                             mesh_answer &Answer) {
   // An answer without a length is whole unless the server ended, so its call is
   // noted only then.
-  if (End == exchange_outcome::server_closed)
+  if (End == exchange_outcome::server_closed) {
     Broken.add(Call.Fingerprint, Start, currentTime());
+    connectionBroke();
+  }
   bool IsGone = co_await checkServerGone(Start);
   if (!IsGone)
     co_return;
@@ -317,6 +307,8 @@
   // The backend server may have been replaced while the call waited.
   bool Sendable = Connection && isForCurrentWorker(Call) &&
                   !Job->Cancel.raised() && Now < Call.Deadline;
+  if (!Connection)
+    serverMayHaveEnded();
   if (!Sendable) {
     if (Connection)
       Connections.giveBack(std::move(Connection));
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -10,6 +10,7 @@
 #include "mesh/server_notices.h"
 #include "mesh/worker_connection_pool.h"
 #include "moves/evidence.h"
+#include "net/clock.h"
 #include "routing/body_admission.h"
 #include "routing/broken_calls.h"
 #include "routing/slot_queue.h"
@@ -40,6 +41,14 @@
   }
   /// Applies the newest report of the backend server beside this node.
   void updateWorker(const worker_report &Report);
+  /// Sets whether the failure domain of this node is evacuated. While it is,
+  /// all waiting and new calls are refused as not run.
+  void setEvacuated(bool IsEvacuated);
+  /// Sets what the backend server takes while it is cold.
+  void setColdStart(const cold_start_limits &Limits);
+  /// Applies when a report of the backend server says that its cold start ends.
+  void coldStartReported(instant WarmAt);
+  bool isServerCold() const { return Queue.coldStart().isCold(currentTime()); }
   /// Refuses all waiting and new calls as not run.
   void stop();
 
@@ -106,9 +115,20 @@
   /// Called when this start of the backend server is known to be gone.
   void serverEnded(const worker_start &Start, instant Now);
   bool isForCurrentWorker(const mesh_call &Call) const;
+  /// Called after the backend server, which may have ended, did not accept or
+  /// closed a connection.
+  void serverMayHaveEnded();
+  /// Called when the backend server closed the connection of a call. It may
+  /// have ended if several break together.
+  void connectionBroke();
+  void logColdStart(std::string_view Why, bool WasCold);
+  /// Sets the slots for the state of the backend server and of this node.
+  void updateSlots(instant Now);
   void finish(const job &Job, mesh_answer Answer);
   void refuse(const job &Job, std::string Reason);
   void decideOffer(const body_offer &Offer, body_decision Decide, instant Now);
+  /// Refuses the offered bodies that are not decided yet.
+  void endOffers(const std::string &Reason);
   slot_request slotRequest(const mesh_call &Call);
   void recordResult(const job &Job, const mesh_answer &Answer, instant Now);
   void apply(const slot_update &Change);
@@ -131,6 +151,7 @@
   leaving_handler OnServerLeaving = [](const worker_start &) {};
   std::optional<worker_report> Worker;
   bool Stopping = false;
+  bool Evacuated = false;
   slot_queue Queue;
   server_notices Notices;
   asio::steady_timer StartTimer;
@@ -147,6 +168,7 @@
   std::unordered_set<request_id> RunningRetries;
   std::uint64_t NextNumber = 0;
   std::size_t Active = 0;
+  instant ConnectionBrokeAt;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/mesh_membership.cpp
+++ b/src/chivebeam/mesh/mesh_membership.cpp
@@ -40,6 +40,8 @@
         Frame.Suspects = News;
         Hub.broadcast(Frame, From);
       });
+  State.onEvacuationNews(
+      [this](const node_id &From) { Hub.broadcast(Hub.statusFrame(), From); });
   State.onNewConfig([this] { announceStatus(); });
   State.onOwnRecord([this](const home_record &Record) {
     peer_frame Frame = Hub.frame(frame_kind::records);
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -66,7 +66,8 @@
       MoveExecutor(Context, *RequestStore, Settings,
                    *Dependencies.DocumentFormat, State, Hub),
       Evidence(Home, State, MoveExecutor),
-      OperatorListener(*Dependencies.DocumentFormat, State, MoveExecutor),
+      OperatorListener(Settings, *Dependencies.DocumentFormat, State,
+                       MoveExecutor),
       MeshListener(Membership, MoveExecutor, Registrar),
       OperatorSubscription(*OperatorStore,
                            Dependencies.DocumentFormat->prefix(),
@@ -181,6 +182,7 @@
 bool mesh_node::isReady() const { return !Stopping && State.hasConfig(); }
 
 void mesh_node::viewChanged() {
+  Home.setEvacuated(State.isEvacuated());
   std::vector<home_record> Others = State.knownRecords();
   std::erase_if(Others, [this](const home_record &Record) {
     return Record.Node == Settings.Node;
@@ -189,9 +191,22 @@
   Router.viewChanged();
   if (!State.view())
     return;
+  Home.setColdStart(coldStartLimits());
   Callers.setIdleTimeout(State.view()->Config->callerLimits().IdleTimeout);
 }
 
+cold_start_limits mesh_node::coldStartLimits() const {
+  const service_entry *Service =
+      State.view()->Config->findService(Settings.Service);
+  if (!Service || Service->ColdCallsPerSecond <= 0)
+    return {};
+  // The extra calls that are allowed are left for calls that arrive closer to
+  // each other than they were sent.
+  double Max = Service->ColdCallsPerSecond * Settings.ColdStartFactor;
+  return {std::min(Service->ColdCallsPerSecond, Max),
+          std::max(static_cast<unsigned>(Max), 1U), Service->ColdStart};
+}
+
 awaitable<void> mesh_node::tickLoop() {
   asio::steady_timer Timer(Context);
   for (;;) {
@@ -309,6 +324,7 @@
   Settings.ReportInterval = Read->ReportInterval;
   Settings.Grace = Read->Grace;
   Settings.RetryBudget = Read->RetryBudget;
+  Settings.Domains = Read->Domains;
   log_event("settings_reloaded")
       .add("why", Why)
       .add("service", Settings.Service);
@@ -323,6 +339,7 @@
   Metrics.set("open_sessions", static_cast<double>(Callers.openSessions()));
   Metrics.set("is_watcher", Registrar.isWatcher() ? 1 : 0);
   Metrics.set("on_standby", OnStandby ? 1 : 0);
+  Metrics.set("is_evacuated", State.isEvacuated() ? 1 : 0);
   instant Now = currentTime();
   auto AgeOf = [&](instant ReadAt) {
     return ReadAt == instant()
@@ -338,6 +355,7 @@
               static_cast<double>(State.configNumber().value()));
   Metrics.set("worker_connections_opened",
               static_cast<double>(Home.connectionsOpened()));
+  Metrics.set("server_cold", Home.isServerCold() ? 1 : 0);
   Home.notices().updateMetrics(Metrics, Now);
   Metrics.set("log_lines_dropped",
               static_cast<double>(log_writer::instance().dropped()));
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -74,6 +74,9 @@
   /// Updates what depends on whether this node or a watcher reads the store.
   void checkStoreAccess(instant Now);
   void viewChanged();
+  /// Returns what the backend server beside this node takes while it is cold.
+  /// \pre there is a configuration.
+  cold_start_limits coldStartLimits() const;
   void awaitSignal();
   void reload(std::string_view Why);
   awaitable<void> stop();
--- a/src/chivebeam/mesh/mesh_settings.h
+++ b/src/chivebeam/mesh/mesh_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 
 #include "base/address.h"
 #include "base/names.h"
@@ -13,6 +14,8 @@
 struct mesh_settings {
   node_id Node;
   failure_domain Domain;
+  /// All failure domains of the mesh; empty: unknown.
+  std::set<failure_domain> Domains;
   service_name Service;  ///< of the backend server beside this node
   address Callers;       ///< accepts calls of callers and of the backend server
   address Readiness;     ///< answers whether this node takes calls
@@ -24,6 +27,9 @@
   milliseconds ReportInterval{1'500}; ///< of the backend server
   milliseconds Grace{6'000};          ///< from SIGTERM to SIGKILL
   retry_budget_limits RetryBudget;
+  /// A cold backend server may get up to this multiple of the calls a second
+  /// that it takes.
+  double ColdStartFactor = 1;
   std::uint64_t MemoryBytes = 256 << 20; ///< of this process
   unsigned MaxDescriptors = 1'024;
   double LinkBytesPerSecond = 0; ///< of this machine; zero: unknown
--- a/src/chivebeam/mesh/mesh_state.cpp
+++ b/src/chivebeam/mesh/mesh_state.cpp
@@ -38,8 +38,9 @@
   std::erase_if(Records, [this](const home_record &Record) {
     return Notices.isLeaving(Record.Start);
   });
-  View =
-      Config ? makeMeshView(Config, Records, Moves, Settings.Domain) : nullptr;
+  View = Config ? makeMeshView(Config, Records, Moves, Settings.Domain,
+                               Evacuations.current().Domains)
+                : nullptr;
   if (OnChange)
     OnChange();
 }
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -34,6 +34,8 @@
   /// Receives events that this node did not know.
   using suspect_handler = std::function<void(const std::vector<suspect_event> &,
                                              const node_id &From)>;
+  /// Receives the node that sent orders that this node did not know.
+  using evacuation_handler = std::function<void(const node_id &From)>;
   using era_handler = std::function<void(store_era)>;
   using status_handler =
       std::function<void(const node_id &From, const peer_status &)>;
@@ -55,6 +57,9 @@
   void onSuspectNews(suspect_handler Handler) {
     OnSuspectNews = std::move(Handler);
   }
+  void onEvacuationNews(evacuation_handler Handler) {
+    OnEvacuationNews = std::move(Handler);
+  }
   /// Called when the store came back from an older copy: this node learns it
   /// from the store or from another node.
   void onEraRise(era_handler Handler) { OnEraRise = std::move(Handler); }
@@ -116,6 +121,17 @@
   void applySuspects(const std::vector<suspect_event> &Events,
                      const node_id &From) override;
   peer_status ownStatus() const override;
+  std::optional<evacuation_orders> knownEvacuations() const override;
+  void applyEvacuations(const evacuation_orders &Orders,
+                        const node_id &From) override;
+  /// Applies the evacuated failure domains of a listing of the store.
+  void evacuationsListed(std::set<failure_domain> Domains,
+                         store_revision Revision);
+  /// Applies the beginning or the end of an order that the store reports.
+  void evacuationChanged(const failure_domain &Domain, store_revision Revision,
+                         bool IsOrdered);
+  /// True if the backend servers in the domain of this node get no calls.
+  bool isEvacuated() const { return Evacuations.isEvacuated(Settings.Domain); }
   std::uint64_t digest() const override;
   shared_body compressedConfig() override;
   void applyRecords(const std::vector<home_record> &Records,
@@ -153,6 +169,7 @@
   void rebuildIfOutdated(instant Now);
   void logChange(const home_record &Record, const node_id &From);
   void updateOwn(home_record Record);
+  void evacuationsChanged(const node_id &From);
   bool offer(const home_record &Record, const node_id &From);
   /// Returns whether the progress changes how calls are routed.
   bool join(service_move &Known, const move_progress &Progress);
@@ -178,6 +195,7 @@
   service_moves Moves;
   crash_suspects Suspects;
   passed_notices Notices;
+  evacuation_state Evacuations;
   fleet_view_ptr View;
   change_handler OnChange;
   change_handler OnNewConfig;
@@ -189,6 +207,7 @@
   suspect_handler OnSuspectNews;
   status_handler OnPeerStatus;
   era_handler OnEraRise;
+  evacuation_handler OnEvacuationNews;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/operator_document_format.h
+++ b/src/chivebeam/mesh/operator_document_format.h
@@ -30,6 +30,10 @@
   virtual checked<snapshot_ptr> compile(const std::string &Text) const = 0;
   virtual bool isMoveOrder(std::string_view Key) const = 0;
   virtual result<move_order> readMoveOrder(const std::string &Text) const = 0;
+  /// Returns the failure domain that the entry with this key evacuates as long
+  /// as it exists; empty for all other keys.
+  virtual std::optional<failure_domain>
+  evacuatedDomain(std::string_view Key) const = 0;
   virtual std::string moveStatusKey(const service_name &Service) const = 0;
   virtual std::string writeMoveStatus(const service_name &Service,
                                       const version_name &To,
--- a/src/chivebeam/mesh/peer_protocol.cpp
+++ b/src/chivebeam/mesh/peer_protocol.cpp
@@ -11,6 +11,22 @@
 /// Larger than any value that the platform's store can hold.
 constexpr std::size_t MaxConfigBytes = 64 << 20;
 
+/// Calls and their answers are many and small, so their frames carry no more
+/// than they need.
+bool carriesEvacuations(frame_kind Kind) {
+  switch (Kind) {
+  case frame_kind::call:
+  case frame_kind::answer:
+  case frame_kind::cancel:
+  case frame_kind::body_request:
+  case frame_kind::body:
+  case frame_kind::body_part:
+    return false;
+  default:
+    return true;
+  }
+}
+
 } // namespace
 
 peer_frame peer_protocol::frame(frame_kind Kind) const {
@@ -20,6 +36,8 @@
   Frame.Config = Status.Config;
   Frame.StoreAge = Status.StoreAge;
   Frame.Era = Status.Era;
+  if (carriesEvacuations(Kind))
+    Frame.Evacuations = PeerState.knownEvacuations();
   if (Kind == frame_kind::ping || Kind == frame_kind::pong)
     Frame.Digest = PeerState.digest();
   if (Kind == frame_kind::subscribe || Kind == frame_kind::records_query)
@@ -104,6 +122,9 @@
 
 bool peer_protocol::handle(const peer_frame &Frame, const node_id &From,
                            frame_channel &Channel) {
+  // Applied before a configuration, with which a node begins to route calls.
+  if (Frame.Evacuations)
+    PeerState.applyEvacuations(*Frame.Evacuations, From);
   // Applied first, so that it is not requested once more.
   if (Frame.Kind == frame_kind::config)
     applyConfig(Frame);
--- a/src/chivebeam/mesh/peer_state_listener.h
+++ b/src/chivebeam/mesh/peer_state_listener.h
@@ -8,6 +8,7 @@
 #include "moves/evidence.h"
 #include "moves/service_move.h"
 #include "routing/crash_suspects.h"
+#include "routing/evacuation_state.h"
 
 namespace chivebeam {
 
@@ -35,6 +36,8 @@
   /// Returns the known events of calls that ran when backend servers ended.
   virtual std::vector<suspect_event> knownSuspects() const = 0;
   virtual peer_status ownStatus() const = 0;
+  /// Returns the evacuated failure domains; empty if no order was ever known.
+  virtual std::optional<evacuation_orders> knownEvacuations() const = 0;
   /// Returns a digest of the records and moves.
   virtual std::uint64_t digest() const = 0;
   /// Returns the compressed text of the newest configuration; null if there
@@ -54,6 +57,10 @@
   virtual void applyMove(const service_move &Move, const node_id &From) = 0;
   virtual void applySuspects(const std::vector<suspect_event> &Events,
                              const node_id &From) = 0;
+  /// Applies the evacuated failure domains that the node From, which may be
+  /// empty, knows.
+  virtual void applyEvacuations(const evacuation_orders &Orders,
+                                const node_id &From) = 0;
   /// Called with the status in each frame of another node; From is empty if
   /// that node is not known yet. Returns whether to request its configuration.
   virtual bool peerReported(const node_id &From, const peer_status &Status) = 0;
--- a/src/chivebeam/mesh/server_notices.h
+++ b/src/chivebeam/mesh/server_notices.h
@@ -17,6 +17,8 @@
   void serverStarted(const worker_start &Start);
   /// Called when a call is sent to the backend server.
   void callSent(bool IsRetry, instant Now) { Sent.add(IsRetry, Now); }
+  /// Returns the calls that were sent in the last four seconds.
+  unsigned sentRecently(instant Now) const { return Sent.inWindow(Now).All; }
   /// Called with the notice in an answer of this start of the backend server,
   /// to a call that was sent at SentAt. Returns whether the rate limit changed.
   bool answered(const worker_start &Start, const server_notice &Notice,
--- a/src/chivebeam/mesh/store_listeners.cpp
+++ b/src/chivebeam/mesh/store_listeners.cpp
@@ -13,7 +13,25 @@
   MoveExecutor.applyOrder(*Order, Entry.ModifiedAt);
 }
 
+std::optional<failure_domain>
+operator_listener::evacuatedBy(const store_entry &Entry) {
+  std::optional<failure_domain> Domain =
+      DocumentFormat.evacuatedDomain(Entry.Key);
+  if (!Domain || Settings.Domains.empty() || Settings.Domains.contains(*Domain))
+    return Domain;
+  Skipped.skip(Entry, {error_kind::not_found, Entry.Key,
+                       "no failure domain \"" + Domain->str() + "\" exists",
+                       "remove the order, or write it for one of the failure "
+                       "domains in the settings"});
+  return std::nullopt;
+}
+
 void operator_listener::onListed(const range_answer &Listing) {
+  std::set<failure_domain> Evacuated;
+  for (const store_entry &Entry : Listing.Entries)
+    if (std::optional<failure_domain> Domain = evacuatedBy(Entry))
+      Evacuated.insert(*Domain);
+  State.evacuationsListed(std::move(Evacuated), Listing.Revision);
   apply(Listing.Entries);
 }
 
@@ -30,6 +48,11 @@
 }
 
 void operator_listener::onChanged(const watch_event &Event) {
+  std::optional<failure_domain> Evacuated =
+      Event.Deleted ? DocumentFormat.evacuatedDomain(Event.Entry.Key)
+                    : evacuatedBy(Event.Entry);
+  if (Evacuated)
+    State.evacuationChanged(*Evacuated, Event.Entry.ModifiedAt, !Event.Deleted);
   if (!Event.Deleted)
     apply({Event.Entry});
 }
--- a/src/chivebeam/mesh/store_listeners.h
+++ b/src/chivebeam/mesh/store_listeners.h
@@ -8,14 +8,15 @@
 
 namespace chivebeam {
 
-/// Applies the operator's documents: configurations and orders of moves. Not
-/// thread safe.
+/// Applies the operator's documents: configurations, orders of moves and of
+/// evacuations. Not thread safe.
 class operator_listener final : public store_listener {
 public:
   /// \pre all arguments outlive the listener.
-  operator_listener(const operator_document_format &DocumentFormat,
+  operator_listener(const mesh_settings &Settings,
+                    const operator_document_format &DocumentFormat,
                     mesh_state &State, move_executor &MoveExecutor)
-      : DocumentFormat(DocumentFormat), State(State),
+      : Settings(Settings), DocumentFormat(DocumentFormat), State(State),
         MoveExecutor(MoveExecutor) {}
 
   void onListed(const range_answer &Listing) override;
@@ -24,7 +25,11 @@
 private:
   void applyOrder(const store_entry &Entry);
   void apply(const std::vector<store_entry> &Entries);
+  /// Returns the failure domain that an entry evacuates; empty for other
+  /// entries and for an order that names an unknown domain, which is logged.
+  std::optional<failure_domain> evacuatedBy(const store_entry &Entry);
 
+  const mesh_settings &Settings;
   const operator_document_format &DocumentFormat;
   mesh_state &State;
   move_executor &MoveExecutor;
--- a/src/chivebeam/mesh/worker_report_handler.cpp
+++ b/src/chivebeam/mesh/worker_report_handler.cpp
@@ -168,8 +168,10 @@
       Message->IsDeregistration
           ? Reports.leave(Message->Worker, Message->StartedAtMs, Now)
           : Reports.report(Message->Report, Now);
-  if (Effect == report_effect::unchanged)
+  if (Effect == report_effect::unchanged) {
+    Home.coldStartReported(Reports.current()->Worker.ReadySince);
     co_return Protocol.acknowledge();
+  }
   const worker_report &Known = *Reports.current();
   bool Leaving = Known.Worker.State == worker_state::leaving;
   log_event("worker_report")
@@ -181,6 +183,8 @@
   if (Effect == report_effect::stale)
     co_return Protocol.acknowledge();
   announce();
+  if (!Message->IsDeregistration)
+    Home.coldStartReported(Known.Worker.ReadySince);
   if (Effect == report_effect::started && !Leaving)
     asio::co_spawn(co_await asio::this_coro::executor,
                    Notes.saveStarted(State.ownRecord()), asio::detached);
--- a/src/chivebeam/store/config_store.h
+++ b/src/chivebeam/store/config_store.h
@@ -11,7 +11,6 @@
 
 namespace chivebeam {
 
-using store_revision = basic_number<struct store_revision_tag>;
 using lease_id = basic_number<struct lease_tag>;
 
 struct store_entry {
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -267,6 +267,24 @@
   return Answer;
 }
 
+wire::evacuation_orders toWire(const evacuation_orders &Orders) {
+  wire::evacuation_orders Out;
+  Out.era = static_cast<std::int64_t>(Orders.Era.value());
+  Out.revision = static_cast<std::int64_t>(Orders.Revision.value());
+  for (const failure_domain &Domain : Orders.Domains)
+    Out.domains.push_back(Domain.str());
+  return Out;
+}
+
+evacuation_orders fromWire(const wire::evacuation_orders &In) {
+  evacuation_orders Orders;
+  Orders.Era = store_era(static_cast<std::uint64_t>(In.era));
+  Orders.Revision = store_revision(static_cast<std::uint64_t>(In.revision));
+  for (const std::string &Domain : In.domains)
+    Orders.Domains.insert(failure_domain(Domain));
+  return Orders;
+}
+
 error invalidFrame(std::string Message) {
   return {error_kind::invalid_input, "", std::move(Message),
           "check that the sender is a chivebeam node of the same version"};
@@ -316,6 +334,8 @@
       Events.push_back(toWire(Event, Now));
     Out.__set_suspects(Events);
   }
+  if (Frame.Evacuations)
+    Out.__set_evacuations(toWire(*Frame.Evacuations));
   if (Frame.AcceptsParts)
     Out.__set_accepts_parts(true);
   if (Frame.PartedBytes > 0)
@@ -377,6 +397,8 @@
     Frame.Suspects.push_back(fromWire(Event, Now));
   if (In->__isset.evidence)
     Frame.Evidence = chivebeam::fromWire(In->evidence);
+  if (In->__isset.evacuations)
+    Frame.Evacuations = fromWire(In->evacuations);
   Frame.AcceptsParts = In->__isset.accepts_parts && In->accepts_parts;
   if (In->__isset.body_bytes && In->body_bytes > 0)
     Frame.PartedBytes = static_cast<std::uint64_t>(In->body_bytes);
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -9,6 +9,7 @@
 #include "mesh/mesh_call.h"
 #include "moves/evidence.h"
 #include "routing/crash_suspects.h"
+#include "routing/evacuation_state.h"
 
 namespace chivebeam {
 
@@ -54,6 +55,8 @@
   std::size_t SkippedRecords = 0;
   std::optional<evidence_report> Evidence;
   std::vector<suspect_event> Suspects; ///< in frames of kind records
+  /// With the status of the sender, once it has known an order.
+  std::optional<evacuation_orders> Evacuations;
   /// The sender can read the body that it asks for in parts. A process of an
   /// earlier version neither says so nor reads parts.
   bool AcceptsParts = false;
--- a/src/libchivebeam/base/units.h
+++ b/src/libchivebeam/base/units.h
@@ -41,6 +41,8 @@
 /// Counts how often the platform's store came back from an older copy. Its
 /// revisions are comparable only within one era.
 using store_era = basic_number<struct store_era_tag>;
+/// Revision of the platform's store; each change of the store increments it.
+using store_revision = basic_number<struct store_revision_tag>;
 /// Hash of a compiled configuration; equal on all nodes that hold the same one.
 using config_digest = basic_number<struct config_digest_tag>;
 
--- a/src/libchivebeam/config/asset_register.h
+++ b/src/libchivebeam/config/asset_register.h
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "base/names.h"
+#include "base/units.h"
 #include "config/work_class.h"
 
 namespace chivebeam {
@@ -27,6 +28,10 @@
   unsigned Workers = 0;        ///< backend servers for each version
   unsigned Slots = 0;          ///< calls that one backend server runs at a time
   unsigned MaxConnections = 0; ///< per backend server; zero: unknown
+  /// Calls a second that one backend server takes while it is cold; zero: no
+  /// limit.
+  double ColdCallsPerSecond = 0;
+  microseconds ColdStart{0}; ///< duration; zero: unknown
 };
 
 /// The operators' inventory of failure domains and services. It is exported
--- a/src/libchivebeam/routing/mesh_view.cpp
+++ b/src/libchivebeam/routing/mesh_view.cpp
@@ -51,13 +51,15 @@
 fleet_view_ptr makeMeshView(const snapshot_ptr &Config,
                             const std::vector<home_record> &Homes,
                             const service_moves &Moves,
-                            const failure_domain &LocalDomain) {
+                            const failure_domain &LocalDomain,
+                            const std::set<failure_domain> &Evacuated) {
   auto View = std::make_shared<fleet_view>();
   View->Config = Config;
   for (const home_record &Home : Homes) {
     const service_name &Service = Home.Worker.Service;
     const service_move *Move = findMove(Moves, Service);
-    if (!takesCalls(Home) || isOutOfService(Move, Home.Worker.Version))
+    if (!takesCalls(Home) || Evacuated.contains(Home.Domain) ||
+        isOutOfService(Move, Home.Worker.Version))
       continue;
     version_split &Split = View->Splits[Service];
     Split = splitOf(Move);
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -76,7 +76,7 @@
                              [&](const slot_request &Other) {
                                return !hasPriorityOver(Request, Other);
                              });
-  return Rate.timeUntil(static_cast<std::size_t>(Ahead) + 1, Now);
+  return timeUntilRate(static_cast<std::size_t>(Ahead) + 1, Now);
 }
 
 microseconds slot_queue::waitForSlot(const slot_request &Request,
@@ -124,8 +124,7 @@
 
 slot_decision slot_queue::arrive(const slot_request &Request, instant Now) {
   if (mayStart(Now) && Waiting.empty() && !cannotMeetDeadline(Request, Now)) {
-    ++Running;
-    Rate.callStarted(Now);
+    callStarted(Now);
     recordRefusal(Request, false, Now);
     return slot_decision::run;
   }
@@ -170,7 +169,7 @@
 std::optional<microseconds> slot_queue::timeUntilStart(instant Now) const {
   if (Waiting.empty() || Running >= Slots)
     return std::nullopt;
-  return Rate.timeUntil(1, Now);
+  return timeUntilRate(1, Now);
 }
 
 slot_update slot_queue::startDue(instant Now) {
@@ -185,7 +184,7 @@
   slot_update Update;
   std::size_t Ahead = 0;
   std::erase_if(Waiting, [&](const slot_request &Request) {
-    instant StartsAt = Now + Rate.timeUntil(Ahead + 1, Now);
+    instant StartsAt = Now + timeUntilRate(Ahead + 1, Now);
     if (!cannotMeetDeadline(Request, StartsAt)) {
       ++Ahead;
       return false;
@@ -197,12 +196,17 @@
   return Update;
 }
 
+void slot_queue::callStarted(instant Now) {
+  ++Running;
+  Rate.callStarted(Now);
+  Cold.callStarted(Now);
+}
+
 void slot_queue::startWaiting(slot_update &Update, instant Now) {
   while (!Waiting.empty() && mayStart(Now)) {
     Update.Started.push_back(Waiting.front().Call);
     Waiting.erase(Waiting.begin());
-    ++Running;
-    Rate.callStarted(Now);
+    callStarted(Now);
   }
 }
 
@@ -217,8 +221,8 @@
   Load.Running = Running;
   Load.Waiting = static_cast<unsigned>(Waiting.size());
   Load.Limit = Slots;
-  Load.StartInterval = Rate.interval();
-  Load.StartWait = Rate.timeUntil(Waiting.size() + 1, Now);
+  Load.StartInterval = std::max(Rate.interval(), Cold.interval(Now));
+  Load.StartWait = timeUntilRate(Waiting.size() + 1, Now);
   Load.ServiceTime = Times.overall();
   Load.Refused = Refusals.ratios(Now);
   return Load;
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <vector>
 
 #include "routing/call_number.h"
+#include "routing/cold_start_gate.h"
 #include "routing/decaying_rate.h"
 #include "routing/decaying_ratio.h"
 #include "routing/home_load.h"
@@ -34,8 +36,9 @@
   std::vector<call_number> Refused; ///< never run
 };
 
-/// Enforces the slots and the rate limit of one backend server and orders the
-/// waiting calls. A call starts only if a slot is free and the rate allows it.
+/// Enforces the slots and the rate limits of one backend server and orders the
+/// waiting calls. A call starts only if a slot is free and the limit that the
+/// server names, and that of its cold start, allow it.
 /// Nested calls go first, since their caller holds a slot elsewhere; then the
 /// more urgent calls; then those with the earlier goal. A call that cannot be
 /// answered before its deadline is refused at once, also while it waits. Calls
@@ -48,6 +51,10 @@
   /// Sets the rate at which calls may start; empty: no limit.
   slot_update setRateLimit(const std::optional<call_rate> &NewLimit,
                            instant Now);
+  /// Returns the limit while the server is cold. After a change of it, startDue
+  /// starts the calls that it lets start.
+  cold_start_gate &coldStart() { return Cold; }
+  const cold_start_gate &coldStart() const { return Cold; }
   unsigned limit() const { return Slots; }
   unsigned running() const { return Running; }
   std::size_t waiting() const { return Waiting.size(); }
@@ -97,8 +104,13 @@
   microseconds waitForSlot(const slot_request &Request, instant Now) const;
   microseconds waitForRate(const slot_request &Request, instant Now) const;
   bool mayStart(instant Now) const {
-    return Running < Slots && Rate.allows(Now);
+    return Running < Slots && timeUntilRate(1, Now).count() == 0;
   }
+  /// Returns the time until the rate limits let this number of calls start.
+  microseconds timeUntilRate(std::size_t Calls, instant Now) const {
+    return std::max(Rate.timeUntil(Calls, Now), Cold.timeUntil(Calls, Now));
+  }
+  void callStarted(instant Now);
   bool cannotMeetDeadline(const slot_request &Request, instant Now) const;
   bool canAccept(const slot_request &Request, instant Now) const;
   void startWaiting(slot_update &Update, instant Now);
@@ -107,6 +119,7 @@
   unsigned Slots = 0;
   unsigned Running = 0;
   start_rate_limiter Rate;
+  cold_start_gate Cold;
   std::vector<slot_request> Waiting; ///< the next one to start first
   service_times Times;
   decaying_rate NestedWork{LoadHalfLife};
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -221,6 +221,14 @@
   4: i64 age_us
 }
 
+// Failure domains whose backend servers get no calls, as of a revision of the
+// store.
+struct evacuation_orders {
+  1: i64 era
+  2: i64 revision
+  3: list<string> domains
+}
+
 struct peer_frame {
   1: i32 kind
   // Number of the call or query that the frame belongs to.
@@ -250,4 +258,6 @@
   15: optional bool accepts_parts
   // Size of the body of the answer, which follows in frames of kind body_part.
   16: optional i64 body_bytes
+  // With the status of the sender, once it has known an order.
+  17: optional evacuation_orders evacuations
 }
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -4248,6 +4248,158 @@
 }
 
 
+evacuation_orders::~evacuation_orders() noexcept {
+}
+
+
+void evacuation_orders::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void evacuation_orders::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void evacuation_orders::__set_domains(const std::vector<std::string> & val) {
+  this->domains = val;
+}
+std::ostream& operator<<(std::ostream& out, const evacuation_orders& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t evacuation_orders::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->domains.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += iprot->readString(this->domains[_i104]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t evacuation_orders::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("evacuation_orders");
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::vector<std::string> ::const_iterator _iter105;
+    for (_iter105 = this->domains.begin(); _iter105 != this->domains.end(); ++_iter105)
+    {
+      xfer += oprot->writeString((*_iter105));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(evacuation_orders &a, evacuation_orders &b) {
+  using ::std::swap;
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+  swap(a.domains, b.domains);
+  swap(a.__isset, b.__isset);
+}
+
+evacuation_orders::evacuation_orders(const evacuation_orders& other106) {
+  era = other106.era;
+  revision = other106.revision;
+  domains = other106.domains;
+  __isset = other106.__isset;
+}
+evacuation_orders& evacuation_orders::operator=(const evacuation_orders& other107) {
+  era = other107.era;
+  revision = other107.revision;
+  domains = other107.domains;
+  __isset = other107.__isset;
+  return *this;
+}
+void evacuation_orders::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "evacuation_orders(";
+  out << "era=" << to_string(era);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "domains=" << to_string(domains);
+  out << ")";
+}
+
+
 peer_frame::~peer_frame() noexcept {
 }
 
@@ -4323,6 +4475,11 @@
   this->body_bytes = val;
 __isset.body_bytes = true;
 }
+
+void peer_frame::__set_evacuations(const evacuation_orders& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_frame& obj)
 {
   obj.printTo(out);
@@ -4395,14 +4552,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->records.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->records.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->records[_i104].read(iprot);
+              xfer += this->records[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4447,14 +4604,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->buckets.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->buckets.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += iprot->readI64(this->buckets[_i109]);
+              xfer += iprot->readI64(this->buckets[_i117]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4483,14 +4640,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->suspects.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->suspects.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->suspects[_i114].read(iprot);
+              xfer += this->suspects[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4515,6 +4672,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4558,10 +4723,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<home_record> ::const_iterator _iter115;
-      for (_iter115 = this->records.begin(); _iter115 != this->records.end(); ++_iter115)
+      std::vector<home_record> ::const_iterator _iter123;
+      for (_iter123 = this->records.begin(); _iter123 != this->records.end(); ++_iter123)
       {
-        xfer += (*_iter115).write(oprot);
+        xfer += (*_iter123).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4588,10 +4753,10 @@
     xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-      std::vector<int64_t> ::const_iterator _iter116;
-      for (_iter116 = this->buckets.begin(); _iter116 != this->buckets.end(); ++_iter116)
+      std::vector<int64_t> ::const_iterator _iter124;
+      for (_iter124 = this->buckets.begin(); _iter124 != this->buckets.end(); ++_iter124)
       {
-        xfer += oprot->writeI64((*_iter116));
+        xfer += oprot->writeI64((*_iter124));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4609,10 +4774,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<suspect_event> ::const_iterator _iter117;
-      for (_iter117 = this->suspects.begin(); _iter117 != this->suspects.end(); ++_iter117)
+      std::vector<suspect_event> ::const_iterator _iter125;
+      for (_iter125 = this->suspects.begin(); _iter125 != this->suspects.end(); ++_iter125)
       {
-        xfer += (*_iter117).write(oprot);
+        xfer += (*_iter125).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4628,6 +4793,11 @@
     xfer += oprot->writeI64(this->body_bytes);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4651,46 +4821,49 @@
   swap(a.suspects, b.suspects);
   swap(a.accepts_parts, b.accepts_parts);
   swap(a.body_bytes, b.body_bytes);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-peer_frame::peer_frame(const peer_frame& other118) {
-  kind = other118.kind;
-  call = other118.call;
-  config = other118.config;
-  request = other118.request;
-  answer = other118.answer;
-  records = other118.records;
-  evidence = other118.evidence;
-  digest = other118.digest;
-  store_current = other118.store_current;
-  store_era = other118.store_era;
-  buckets = other118.buckets;
-  covered_buckets = other118.covered_buckets;
-  store_age_us = other118.store_age_us;
-  suspects = other118.suspects;
-  accepts_parts = other118.accepts_parts;
-  body_bytes = other118.body_bytes;
-  __isset = other118.__isset;
-}
-peer_frame& peer_frame::operator=(const peer_frame& other119) {
-  kind = other119.kind;
-  call = other119.call;
-  config = other119.config;
-  request = other119.request;
-  answer = other119.answer;
-  records = other119.records;
-  evidence = other119.evidence;
-  digest = other119.digest;
-  store_current = other119.store_current;
-  store_era = other119.store_era;
-  buckets = other119.buckets;
-  covered_buckets = other119.covered_buckets;
-  store_age_us = other119.store_age_us;
-  suspects = other119.suspects;
-  accepts_parts = other119.accepts_parts;
-  body_bytes = other119.body_bytes;
-  __isset = other119.__isset;
+peer_frame::peer_frame(const peer_frame& other126) {
+  kind = other126.kind;
+  call = other126.call;
+  config = other126.config;
+  request = other126.request;
+  answer = other126.answer;
+  records = other126.records;
+  evidence = other126.evidence;
+  digest = other126.digest;
+  store_current = other126.store_current;
+  store_era = other126.store_era;
+  buckets = other126.buckets;
+  covered_buckets = other126.covered_buckets;
+  store_age_us = other126.store_age_us;
+  suspects = other126.suspects;
+  accepts_parts = other126.accepts_parts;
+  body_bytes = other126.body_bytes;
+  evacuations = other126.evacuations;
+  __isset = other126.__isset;
+}
+peer_frame& peer_frame::operator=(const peer_frame& other127) {
+  kind = other127.kind;
+  call = other127.call;
+  config = other127.config;
+  request = other127.request;
+  answer = other127.answer;
+  records = other127.records;
+  evidence = other127.evidence;
+  digest = other127.digest;
+  store_current = other127.store_current;
+  store_era = other127.store_era;
+  buckets = other127.buckets;
+  covered_buckets = other127.covered_buckets;
+  store_age_us = other127.store_age_us;
+  suspects = other127.suspects;
+  accepts_parts = other127.accepts_parts;
+  body_bytes = other127.body_bytes;
+  evacuations = other127.evacuations;
+  __isset = other127.__isset;
   return *this;
 }
 void peer_frame::printTo(std::ostream& out) const {
@@ -4712,6 +4885,7 @@
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "accepts_parts="; (__isset.accepts_parts ? (out << to_string(accepts_parts)) : (out << "<null>"));
   out << ", " << "body_bytes="; (__isset.body_bytes ? (out << to_string(body_bytes)) : (out << "<null>"));
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -59,6 +59,8 @@
 
 class suspect_event;
 
+class evacuation_orders;
+
 class peer_frame;
 
 typedef struct _address__isset {
@@ -1680,8 +1682,64 @@
 
 std::ostream& operator<<(std::ostream& out, const suspect_event& obj);
 
+typedef struct _evacuation_orders__isset {
+  _evacuation_orders__isset() : era(false), revision(false), domains(false) {}
+  bool era :1;
+  bool revision :1;
+  bool domains :1;
+} _evacuation_orders__isset;
+
+class evacuation_orders : public virtual ::apache::thrift::TBase {
+ public:
+
+  evacuation_orders(const evacuation_orders&);
+  evacuation_orders& operator=(const evacuation_orders&);
+  evacuation_orders() noexcept
+                    : era(0),
+                      revision(0) {
+  }
+
+  virtual ~evacuation_orders() noexcept;
+  int64_t era;
+  int64_t revision;
+  std::vector<std::string>  domains;
+
+  _evacuation_orders__isset __isset;
+
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_domains(const std::vector<std::string> & val);
+
+  bool operator == (const evacuation_orders & rhs) const
+  {
+    if (!(era == rhs.era))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(domains == rhs.domains))
+      return false;
+    return true;
+  }
+  bool operator != (const evacuation_orders &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const evacuation_orders & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(evacuation_orders &a, evacuation_orders &b);
+
+std::ostream& operator<<(std::ostream& out, const evacuation_orders& obj);
+
 typedef struct _peer_frame__isset {
-  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), store_age_us(false), suspects(false), accepts_parts(false), body_bytes(false) {}
+  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), store_age_us(false), suspects(false), accepts_parts(false), body_bytes(false), evacuations(false) {}
   bool kind :1;
   bool call :1;
   bool config :1;
@@ -1698,6 +1756,7 @@
   bool suspects :1;
   bool accepts_parts :1;
   bool body_bytes :1;
+  bool evacuations :1;
 } _peer_frame__isset;
 
 class peer_frame : public virtual ::apache::thrift::TBase {
@@ -1735,6 +1794,7 @@
   std::vector<suspect_event>  suspects;
   bool accepts_parts;
   int64_t body_bytes;
+  evacuation_orders evacuations;
 
   _peer_frame__isset __isset;
 
@@ -1770,6 +1830,8 @@
 
   void __set_body_bytes(const int64_t val);
 
+  void __set_evacuations(const evacuation_orders& val);
+
   bool operator == (const peer_frame & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1820,6 +1882,10 @@
       return false;
     else if (__isset.body_bytes && !(body_bytes == rhs.body_bytes))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const peer_frame &rhs) const {
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -149,6 +149,7 @@
   mesh_settings Settings;
   Settings.Node = node_id("node-" + std::to_string(Index));
   Settings.Domain = failure_domain(Domain);
+  Settings.Domains = Domains;
   Settings.Service = service_name(Service);
   Settings.Callers = AnyPort;
   Settings.Readiness = AnyPort;
@@ -192,7 +193,12 @@
   json::array Names;
   json::array Routes;
   for (const std::string &Service : Services) {
-    Names.push_back(json::object{{"name", Service}, {"maxConnections", 110}});
+    json::object Entry{{"name", Service}, {"maxConnections", 110}};
+    if (ColdPerS > 0) {
+      Entry["coldPerS"] = ColdPerS;
+      Entry["coldStartS"] = 3;
+    }
+    Names.push_back(std::move(Entry));
     Routes.push_back(route("read-" + Service, "/" + Service + "/", Service,
                            "safe", TimeoutS));
     Routes.push_back(route("pay-" + Service, "/pay/" + Service + "/", Service,
@@ -243,7 +249,7 @@
                     {"status",
                      {{"state", State},
                       {"sequence", ++Worker.Sequence},
-                      {"coldRemainingS", 0}}}};
+                      {"coldRemainingS", Worker.ColdRemainingS}}}};
   result<http_response> Answer =
       co_await httpCall(Nodes[Index]->settings().WorkerReports,
                         makeRequest(http::verb::put, "/instances/" + Worker.Id,
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -30,6 +30,7 @@
   std::int64_t StartedAtMs = 1;
   unsigned Slots = 4;
   std::uint64_t Sequence = 0;
+  double ColdRemainingS = 0; ///< in its reports
   worker_script Script;
   std::unique_ptr<scripted_worker> Server;
   std::vector<http::request<http::string_body>> Received;
@@ -120,6 +121,9 @@
   /// Limits in configurations that are stored after they are set.
   double IdleTimeoutS = 15;
   std::uint64_t MaxBodyBytes = 1 << 20;
+  /// Known to nodes that are added after it is set.
+  std::set<failure_domain> Domains;
+  double ColdPerS = 0; ///< of all services; zero: not named
 
 private:
   void startNode(std::size_t Index, mesh_settings Settings);
