--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -82,11 +82,6 @@
                                           cancel_signal Cancel) {
   entry_call Entry;
   Entry.View = State.view();
-  if (Closed && !Protocol.parentOf(Request.Id))
-    co_return entry_result{entry_result::kind::own,
-                           {},
-                           own_answer::not_run,
-                           addJitter(NoServerRetryAfter)};
   if (!Entry.View)
     co_return entry_result{entry_result::kind::own,
                            {},
@@ -100,6 +95,12 @@
   instant Now = currentTime();
   std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
   Preparer.prepare(Entry, *Route, std::move(Request));
+  // A call that could outlast this process is left to another node.
+  if (LastAnswerAt && (!Parent || Entry.Call.Deadline > *LastAnswerAt))
+    co_return entry_result{entry_result::kind::own,
+                           {},
+                           own_answer::not_run,
+                           addJitter(NoServerRetryAfter)};
   Entry.Call.IsRetry = Parent && Home.isRunningRetry(*Parent);
   if (Entry.Call.IsRetry)
     RetryBudget.recordRetry(Entry.Call.Service, Now);
@@ -115,11 +116,21 @@
   co_return Result;
 }
 
-void entry_router::endOpenCalls() {
-  Ending = true;
-  for (entry_call *Entry : OpenCalls)
+std::size_t entry_router::endOpenCalls(instant LastAnswer) {
+  EndsAfter = LastAnswer;
+  std::size_t Ended = 0;
+  for (entry_call *Entry : OpenCalls) {
+    if (!isEnding(*Entry))
+      continue;
+    ++Ended;
     if (Entry->Abandon)
       Entry->Abandon();
+  }
+  return Ended;
+}
+
+bool entry_router::isEnding(const entry_call &Entry) const {
+  return EndsAfter && Entry.Call.Deadline > *EndsAfter;
 }
 
 bool entry_router::isQuarantined(entry_call &Entry, instant Now) {
@@ -201,7 +212,7 @@
                                                   cancel_signal Cancel) {
   for (;;) {
     instant Started = currentTime();
-    if (Ending)
+    if (isEnding(Entry))
       co_return endAtEntry(Entry, "this node is about to end");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
@@ -253,7 +264,7 @@
 awaitable<std::optional<entry_result>>
 entry_router::waitForSilentNodes(entry_call &Entry, cancel_signal Cancel) {
   std::shared_ptr<silent_attempts> Silent = Entry.Silent;
-  bool MayBeAnswered = Silent->Open > 0 && !Ending;
+  bool MayBeAnswered = Silent->Open > 0 && !isEnding(Entry);
   if (!MayBeAnswered && !Silent->FirstAnswer.isSet())
     co_return std::nullopt;
   instant Started = currentTime();
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -54,12 +54,13 @@
   /// Updates the state that depends on the fleet view. Call after each change
   /// of the view.
   void viewChanged();
-  /// Refuses new calls of outside callers from now on. Calls that are running,
-  /// and nested calls that the backend server sends meanwhile, continue to
-  /// their end.
-  void close() { Closed = true; }
-  /// Ends the open calls: each is answered with what is known of it.
-  void endOpenCalls();
+  /// Refuses new calls of outside callers from now on. Calls that are running
+  /// continue to their end, as do nested calls that the backend server sends
+  /// meanwhile, if they end by LastAnswer at the latest.
+  void close(instant LastAnswer) { LastAnswerAt = LastAnswer; }
+  /// Ends the open calls whose deadline is after LastAnswer: each is answered
+  /// with what is known of it. Returns how many were ended.
+  std::size_t endOpenCalls(instant LastAnswer);
   std::size_t openCalls() const { return OpenCalls.size(); }
   downstream_services &downstream() { return Downstream; }
 
@@ -79,6 +80,8 @@
                        const mesh_answer &Answer, instant Now);
   /// Notes what the backend server says about itself in an answer.
   void recordNotice(const endpoint &Endpoint, const mesh_answer &Answer);
+  /// True if the call is ended before its deadline.
+  bool isEnding(const entry_call &Entry) const;
   /// True if the call is nested or admitted as a call of an outside caller.
   bool admit(const entry_call &Entry, instant Now);
   const endpoint *choose(entry_call &Entry, instant Now);
@@ -115,8 +118,10 @@
   call_log Log;
   std::function<bool()> ConfigMayBeStale = [] { return false; };
   std::set<entry_call *> OpenCalls;
-  bool Closed = false;
-  bool Ending = false; ///< open calls are ended
+  /// Set once new calls are refused: the latest end of those that still run.
+  std::optional<instant> LastAnswerAt;
+  /// Set once open calls are ended: those with a later deadline.
+  std::optional<instant> EndsAfter;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/mesh_node_stop.cpp
+++ b/src/chivebeam/mesh/mesh_node_stop.cpp
@@ -45,11 +45,13 @@
   instant Started = currentTime();
   instant StopDeadline =
       Started + Settings.Grace * UsableGraceParts / GraceParts;
+  instant AnswerDeadline =
+      Started + Settings.Grace * AnswerGraceParts / GraceParts;
   co_await sleepFor(
       std::min<microseconds>(CallerDrainTime, StopDeadline - Started));
   // Calls that were accepted so far can still end within the grace period.
   // Other nodes use the backend server until here and then choose another one.
-  Router.close();
+  Router.close(AnswerDeadline);
   Workers.leave();
   Home.stop();
   instant IdleSince;
@@ -65,8 +67,7 @@
       break;
     co_await sleepFor(WorkCheckInterval);
   }
-  co_await endOpenCalls(Started +
-                        Settings.Grace * AnswerGraceParts / GraceParts);
+  co_await endOpenCalls(AnswerDeadline);
   log_event("node_stopped")
       .add("node", Settings.Node)
       .add("open_calls", Router.openCalls());
@@ -74,9 +75,8 @@
 }
 
 awaitable<void> mesh_node::endOpenCalls(instant AnswerDeadline) {
-  if (Router.openCalls() > 0)
-    log_event("open_calls_ended").add("calls", Router.openCalls());
-  Router.endOpenCalls();
+  if (std::size_t Ended = Router.endOpenCalls(AnswerDeadline); Ended > 0)
+    log_event("open_calls_ended").add("calls", Ended);
   while (Callers.isBusy() && currentTime() < AnswerDeadline)
     co_await sleepFor(AnswerCheckInterval);
 }
--- a/tests/mesh/lost_calls_test.cpp
+++ b/tests/mesh/lost_calls_test.cpp
@@ -308,6 +308,53 @@
   });
 }
 
+// Guards against a stopping node that ends a nested call of its backend server
+// shortly before the end of the grace period, although the call would be
+// answered in time, and against one that starts a call that would not.
+BOOST_AUTO_TEST_CASE(a_late_nested_call_of_a_stopping_node_is_answered) {
+  constexpr milliseconds LateInTheGracePeriod{4'850};
+  mesh_fixture Mesh;
+  Mesh.configure(1, {"front", "desk"}, 5.0);
+  Mesh.addNode("front");
+  home_stand_in Home(Mesh, "home", "desk");
+  std::vector<std::uint64_t> Running;
+  Home.OnCall = [&](std::uint64_t Call) { Running.push_back(Call); };
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await Home.introduceTo(Mesh.node(0));
+    co_await Mesh.until([&] { return Mesh.node(0).knownServers() == 2; });
+    unsigned Long = 0;
+    unsigned Short = 0;
+    auto Send = [&Mesh](std::string Id, int DeadlineMs, unsigned &Status) {
+      asio::co_spawn(
+          Mesh.context(),
+          [&Mesh, &Status,
+           Request = Mesh.get("/desk/1", std::move(Id),
+                              DeadlineMs)]() -> awaitable<void> {
+            Status = statusOf(co_await Mesh.call(0, Request));
+          },
+          asio::detached);
+    };
+    // Keeps the node at work until the end of its grace period.
+    unsigned Open = 0;
+    Send("open", 5'000, Open);
+    co_await Mesh.until([&] { return Running.size() == 1; });
+    instant StoppedAt = currentTime();
+    Mesh.node(0).beginStop();
+    co_await Mesh.until(
+        [&] { return currentTime() >= StoppedAt + LateInTheGracePeriod; });
+    Send("open.1", 500, Short);
+    Send("open.2", 2'000, Long);
+    co_await Mesh.until([&] { return Running.size() == 2 && Long > 0; });
+    BOOST_TEST(Long == 503u);
+    co_await Mesh.until([&] { return Open > 0; });
+    Home.answer(Running[1], okAnswer());
+    co_await Mesh.until([&] { return Short > 0; });
+    BOOST_TEST(Short == 200u);
+    BOOST_TEST(Running.size() == 2u);
+  });
+}
+
 // Guards against reads that run into their deadlines on a connection that has
 // gone silent for good, while new connections to the same node work.
 BOOST_AUTO_TEST_CASE(a_read_on_a_connection_that_went_silent_is_sent_again) {
