--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -54,7 +54,8 @@
       Random(seedOf(Settings.Node)),
       Preparer(Settings, Protocol, seedOf(Settings.Node)),
       Picker(Settings.Domain, seedOf(Settings.Node)),
-      RetryBudget(Settings.RetryBudget), Retries(State, Picker, RetryBudget),
+      RetryBudget(Settings.RetryBudget), Hedges(Settings.Hedging),
+      Retries(State, Picker, RetryBudget),
       Downstream(State, Picker, RetryBudget) {}
 
 void entry_router::viewChanged() {
@@ -108,6 +109,8 @@
     RetryBudget.callStarted(Entry.Call.Service, Now);
   if (!admit(Entry, Now))
     co_return refuseAtEntry(Entry, "a downstream service is overloaded");
+  if (isHedgeable(Entry))
+    Hedges.callStarted();
   OpenCalls.insert(&Entry);
   Entry.Silent = std::make_shared<silent_attempts>(Context.get_executor());
   entry_result Result = co_await runAttempts(Entry, Cancel);
@@ -235,6 +238,12 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
+    if (Answer.Superseded) {
+      std::optional<entry_result> First =
+          co_await waitForSilentNodes(Entry, Cancel);
+      if (First)
+        co_return std::move(*First);
+    }
     recordServerEnd(Entry, Endpoint, Answer, Now);
     recordNotice(Endpoint, Answer);
     Retries.recordAttempt(Entry, Answer, Now);
@@ -288,6 +297,7 @@
   if (!Answer || !isServerAnswer(*Answer))
     co_return std::nullopt;
   recordNotice(Silent->AnsweredBy, *Answer);
+  recordLatency(Entry, currentTime());
   log(Entry, Silent->AnsweredBy, *Answer, next_step::deliver,
       currentTime() - Started);
   co_return finish(Entry, next_step::deliver, std::move(*Answer));
@@ -332,11 +342,25 @@
     Home.run(std::move(Call), Attempt, Reply);
   else
     Hub.call(Endpoint.Node, std::move(Call), Attempt, Reply);
+  std::shared_ptr<silent_attempts> Silent = Entry.Silent;
+  if (Hedges.isEnabled())
+    Silent->OnAnswered = [PendingAnswer] {
+      mesh_answer Late = emptyAnswer(attempt_outcome::lost,
+                                     "another attempt was answered first");
+      Late.Superseded = true;
+      PendingAnswer.set(std::move(Late));
+    };
   std::optional<mesh_answer> Answer =
-      co_await PendingAnswer.wait(Entry.Call.Deadline - Now);
+      co_await awaitAnswer(Entry, PendingAnswer, Now);
+  Silent->OnAnswered = nullptr;
+  if (Answer && Answer->Superseded)
+    Attempt.raise();
   instant AnsweredAt = currentTime();
   bool IsSilent = Answer && Answer->Silent && !LateAnswer.isSet();
-  if (IsSilent && Retries.mayMoveOn(Entry, AnsweredAt)) {
+  if (Answer && Answer->Hedged) {
+    *MovedOn = true;
+    Entry.Silent->add(Attempt);
+  } else if (IsSilent && Retries.mayMoveOn(Entry, AnsweredAt)) {
     // The home node may still run the call, so the attempt goes on until there
     // is another answer.
     *MovedOn = true;
@@ -355,12 +379,53 @@
                         "the deadline of the call has passed");
 }
 
+bool entry_router::isHedgeable(const entry_call &Entry) const {
+  // Hedging at one layer of a call tree only: copies of nested calls would
+  // multiply with those of their parents.
+  return Hedges.isEnabled() && Entry.Call.Idempotent && !Entry.Call.Nested;
+}
+
+bool entry_router::takeHedge(entry_call &Entry, instant Now) {
+  if (isEnding(Entry) || LastAnswerAt || !Retries.mayMoveOn(Entry, Now))
+    return false;
+  const endpoint *Target = choose(Entry, Now);
+  return Target && Hedges.takeHedge(Picker.recentLoad(*Target, Now));
+}
+
+awaitable<std::optional<mesh_answer>>
+entry_router::awaitAnswer(entry_call &Entry, one_shot<mesh_answer> Pending,
+                          instant Now) {
+  std::optional<microseconds> Delay;
+  if (isHedgeable(Entry) && Entry.Attempts == 1)
+    Delay = Hedges.delayOf(Entry.Call.Route);
+  if (!Delay || Now + *Delay >= Entry.Call.Deadline)
+    co_return co_await Pending.wait(Entry.Call.Deadline - Now);
+  std::optional<mesh_answer> Early = co_await Pending.wait(*Delay);
+  if (Early)
+    co_return Early;
+  instant DelayEnded = currentTime();
+  if (!takeHedge(Entry, DelayEnded))
+    co_return co_await Pending.wait(Entry.Call.Deadline - DelayEnded);
+  Metrics.count("calls_hedged");
+  mesh_answer Hedged =
+      emptyAnswer(attempt_outcome::lost, "a second copy of the call is sent");
+  Hedged.Hedged = true;
+  co_return Hedged;
+}
+
+void entry_router::recordLatency(const entry_call &Entry, instant Now) {
+  if (isHedgeable(Entry))
+    Hedges.recordLatency(Entry.Call.Route, Now - Entry.ArrivedAt);
+}
+
 void entry_router::recordObservation(const entry_call &Entry,
                                      const endpoint &Endpoint,
                                      const mesh_answer &Answer,
                                      microseconds Took, instant Now) {
   call_observation Observed;
-  Observed.Verdict = verdictOf(Answer);
+  Observed.Verdict = Answer.Hedged || Answer.Superseded
+                         ? call_verdict::cancelled
+                         : verdictOf(Answer);
   Observed.Latency = Took;
   bool HasLoad =
       !Answer.Unreachable && (Answer.Load.Limit > 0 || Answer.Status > 0 ||
@@ -374,6 +439,8 @@
   Observed.Urgency = Entry.Call.Urgency;
   Observed.LargeBody =
       Entry.Call.Body && Entry.Call.Body->size() > LargeBodyBytes;
+  if (Answer.Outcome == attempt_outcome::answered)
+    recordLatency(Entry, Now);
   if (Answer.Outcome == attempt_outcome::answered && Answer.RunTime.count() > 0)
     Picker.recordDuration(Entry.Call.Route, Endpoint, Answer.RunTime);
   Picker.callEnded(Entry.Call.Service, Endpoint, Observed, Now);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -9,6 +9,7 @@
 #include "mesh/peer_hub.h"
 #include "mesh/retry_decider.h"
 #include "routing/expected_latency_picker.h"
+#include "routing/hedge_policy.h"
 #include "routing/windowed_retry_budget.h"
 
 namespace chivebeam {
@@ -93,6 +94,15 @@
   void recordObservation(const entry_call &Entry, const endpoint &Endpoint,
                          const mesh_answer &Answer, microseconds Took,
                          instant Now);
+  /// True if the call may be hedged at some time.
+  bool isHedgeable(const entry_call &Entry) const;
+  /// Waits for the answer of an attempt. Returns empty at the deadline, and an
+  /// answer marked as Hedged when a second copy is to be sent.
+  awaitable<std::optional<mesh_answer>>
+  awaitAnswer(entry_call &Entry, one_shot<mesh_answer> Pending, instant Now);
+  /// True if a second copy of the call is to be sent now. Uses the budget.
+  bool takeHedge(entry_call &Entry, instant Now);
+  void recordLatency(const entry_call &Entry, instant Now);
   entry_result finish(entry_call &Entry, next_step Step, mesh_answer Answer);
   void log(const entry_call &Entry, const endpoint &Endpoint,
            const mesh_answer &Answer, next_step Step, microseconds Took);
@@ -109,6 +119,7 @@
   call_preparer Preparer;
   expected_latency_picker Picker;
   windowed_retry_budget RetryBudget;
+  hedge_policy Hedges;
   retry_decider Retries;
   downstream_services Downstream;
   root_admission Roots;
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -78,6 +78,10 @@
   bool Unreachable = false; ///< true if the home node could not be reached
   /// True if the home node is only silent, so that the answer may still come.
   bool Silent = false;
+  /// True if the attempt goes on while a second copy of the call is sent.
+  bool Hedged = false;
+  /// True if another attempt was answered first.
+  bool Superseded = false;
 };
 
 /// Returns an answer without status and body that has an outcome and the reason
--- a/src/chivebeam/mesh/mesh_settings.h
+++ b/src/chivebeam/mesh/mesh_settings.h
@@ -5,6 +5,7 @@
 #include "base/address.h"
 #include "base/names.h"
 #include "base/units.h"
+#include "routing/hedge_policy.h"
 #include "routing/windowed_retry_budget.h"
 
 namespace chivebeam {
@@ -24,6 +25,7 @@
   milliseconds ReportInterval{1'500}; ///< of the backend server
   milliseconds Grace{6'000};          ///< from SIGTERM to SIGKILL
   retry_budget_limits RetryBudget;
+  hedge_limits Hedging;
   std::uint64_t MemoryBytes = 256 << 20; ///< of this process
   unsigned MaxDescriptors = 1'024;
   double LinkBytesPerSecond = 0; ///< of this machine; zero: unknown
--- a/src/chivebeam/mesh/silent_attempts.cpp
+++ b/src/chivebeam/mesh/silent_attempts.cpp
@@ -18,7 +18,10 @@
       !(isServerAnswer(Answer) || (AwaitsLast && Open == 0)))
     return;
   AnsweredBy = Endpoint;
+  bool IsAnswered = Answer.Outcome == attempt_outcome::answered;
   FirstAnswer.set(std::move(Answer));
+  if (IsAnswered && OnAnswered)
+    OnAnswered();
 }
 
 void silent_attempts::cancel() {
--- a/src/chivebeam/mesh/silent_attempts.h
+++ b/src/chivebeam/mesh/silent_attempts.h
@@ -7,9 +7,9 @@
 
 namespace chivebeam {
 
-/// Attempts at home nodes that fell silent and whose call was sent to another
-/// node as well. Their answers may still come. Shared with the replies of the
-/// attempts.
+/// Attempts whose call was sent to another node as well, because the home node
+/// fell silent or the call was hedged. Their answers may still come. Shared
+/// with the replies of the attempts.
 struct silent_attempts {
   explicit silent_attempts(const asio::any_io_executor &Executor)
       : FirstAnswer(Executor) {}
@@ -22,6 +22,8 @@
   endpoint AnsweredBy;
   std::vector<cancel_signal> Cancels;
   std::size_t Open = 0;
+  /// Called when one of the attempts is answered; null for none.
+  std::function<void()> OnAnswered;
   bool AwaitsLast = false; ///< the call waits until the last attempt has ended
 };
 
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -158,6 +158,7 @@
   Settings.Store = Store->listen();
   Settings.LinkBytesPerSecond = LinkBytesPerSecond;
   Settings.MemoryBytes = MemoryBytes;
+  Settings.Hedging = Hedging;
   Settings.RetryBudget.Slack = 100;
   Stopped.push_back(false);
   Nodes.emplace_back();
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -117,6 +117,8 @@
   double LinkBytesPerSecond = 0; ///< of nodes that are added after it is set
   /// Memory of nodes that are added after it is set.
   std::uint64_t MemoryBytes = 256 << 20;
+  /// Of nodes that are added after it is set.
+  hedge_limits Hedging;
   /// Limits in configurations that are stored after they are set.
   double IdleTimeoutS = 15;
   std::uint64_t MaxBodyBytes = 1 << 20;
