--- a/src/chivebeam/mesh/mesh_settings.h
+++ b/src/chivebeam/mesh/mesh_settings.h
@@ -6,6 +6,7 @@
 #include "base/address.h"
 #include "base/names.h"
 #include "base/units.h"
+#include "routing/hedge_policy.h"
 #include "routing/windowed_retry_budget.h"
 
 namespace chivebeam {
@@ -30,6 +31,7 @@
   /// A cold backend server may get up to this multiple of the calls a second
   /// that it takes.
   double ColdStartFactor = 1;
+  hedge_limits Hedging;
   std::uint64_t MemoryBytes = 256 << 20; ///< of this process
   unsigned MaxDescriptors = 1'024;
   double LinkBytesPerSecond = 0; ///< of this machine; zero: unknown
