Refuse calls beyond the usage cap of their workspace at their entry node

Cause: the caps of workspaces are in the configuration but have no effect.

Change: usage_limiter asks the owners of tokens with frames 17 and 18 and answers such requests on watchers. A call beyond the cap gets 429 with Retry-After.

--- a/src/chivebeam/mesh/call_protocol.cpp
+++ b/src/chivebeam/mesh/call_protocol.cpp
@@ -16,6 +16,8 @@
     return "out_of_time";
   case own_answer::unauthorized:
     return "unauthorized";
+  case own_answer::over_cap:
+    return "over_cap";
   case own_answer::bad_request:
     return "bad_request";
   case own_answer::header_too_large:
--- a/src/chivebeam/mesh/call_protocol.h
+++ b/src/chivebeam/mesh/call_protocol.h
@@ -22,6 +22,7 @@
   may_have_run, ///< the call may have run, but there is no complete answer
   out_of_time,  ///< as may_have_run, after the deadline of the call
   unauthorized, ///< no workspace holds the API key of the call
+  over_cap,     ///< the workspace of the call has used up its usage cap
   bad_request,  ///< the request is malformed
   header_too_large,
   body_too_large,
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -48,10 +48,11 @@
                            const mesh_settings &MeshSettings,
                            const call_protocol &CallProtocol,
                            mesh_state &MeshState, home_runner &HomeRunner,
-                           peer_hub &PeerHub, mesh_metrics &MeshMetrics)
+                           peer_hub &PeerHub, usage_limiter &UsageLimiter,
+                           mesh_metrics &MeshMetrics)
     : Context(IoContext), Settings(MeshSettings), Protocol(CallProtocol),
-      State(MeshState), Home(HomeRunner), Hub(PeerHub), Metrics(MeshMetrics),
-      Random(seedOf(Settings.Node)),
+      State(MeshState), Home(HomeRunner), Hub(PeerHub), Usage(UsageLimiter),
+      Metrics(MeshMetrics), Random(seedOf(Settings.Node)),
       Preparer(Settings, Protocol, seedOf(Settings.Node)),
       Picker(Settings.Domain, seedOf(Settings.Node)),
       RetryBudget(Settings.RetryBudget), Retries(State, Picker, RetryBudget),
@@ -97,9 +98,18 @@
   if (!Route)
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::no_route, {}};
-  instant Now = currentTime();
   std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
   Preparer.prepare(Entry, *Route, std::move(Request));
+  OpenCalls.insert(&Entry);
+  std::optional<microseconds> OverCapFor =
+      co_await Usage.admit(Entry.Call.Workspace);
+  OpenCalls.erase(&Entry);
+  if (Cancel.raised())
+    co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
+  if (OverCapFor)
+    co_return entry_result{
+        entry_result::kind::own, {}, own_answer::over_cap, *OverCapFor};
+  instant Now = currentTime();
   Entry.Call.IsRetry = Parent && Home.isRunningRetry(*Parent);
   if (Entry.Call.IsRetry)
     RetryBudget.recordRetry(Entry.Call.Service, Now);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -8,6 +8,7 @@
 #include "mesh/mesh_state.h"
 #include "mesh/peer_hub.h"
 #include "mesh/retry_decider.h"
+#include "mesh/usage_limiter.h"
 #include "routing/expected_latency_picker.h"
 #include "routing/windowed_retry_budget.h"
 
@@ -39,7 +40,8 @@
   /// \pre all arguments outlive the router.
   entry_router(asio::io_context &Context, const mesh_settings &Settings,
                const call_protocol &Protocol, mesh_state &State,
-               home_runner &Home, peer_hub &Hub, mesh_metrics &Metrics);
+               home_runner &Home, peer_hub &Hub, usage_limiter &Usage,
+               mesh_metrics &Metrics);
 
   /// Sets the check for whether this node may lack the newest configuration.
   void setStaleConfigCheck(std::function<bool()> Check) {
@@ -101,6 +103,7 @@
   mesh_state &State;
   home_runner &Home;
   peer_hub &Hub;
+  usage_limiter &Usage;
   mesh_metrics &Metrics;
   random_source Random;
   call_preparer Preparer;
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -54,8 +54,9 @@
              body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
       State(Settings, *Dependencies.DocumentFormat),
       Home(Context, *Dependencies.Calls, State, Settings.LinkBytesPerSecond),
-      Hub(Context, State),
-      Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Metrics),
+      Hub(Context, State), Usage(Context, Settings, State, Hub, Metrics),
+      Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Usage,
+             Metrics),
       OperatorStore(Dependencies.OpenStore(Settings.Store)),
       MeshStore(Dependencies.OpenStore(Settings.Store)),
       RequestStore(Dependencies.OpenStore(Settings.Store)),
@@ -110,6 +111,9 @@
   State.onChange([this] { viewChanged(); });
   Router.setStaleConfigCheck(
       [this] { return State.isBehind() || !isConfigCurrent(currentTime()); });
+  State.onUsage([this](const usage_message &Message, const node_id &From) {
+    Usage.handle(Message, From);
+  });
   State.onEvidence([this](const evidence_report &Report) {
     MoveExecutor.handleEvidence(Report);
   });
@@ -186,6 +190,7 @@
     return Record.Node == Settings.Node;
   });
   Hub.setPeers(Others);
+  Usage.viewChanged();
   Router.viewChanged();
   if (!State.view())
     return;
@@ -209,6 +214,7 @@
   Membership.tick(Now);
   Hub.tick(Now);
   Home.tick(Now);
+  Usage.tick(Now);
   if (Now >= SettingsCheckedAt + SettingsCheckInterval) {
     SettingsCheckedAt = Now;
     if (Dependencies.SettingsMayHaveChanged())
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -7,6 +7,7 @@
 #include "mesh/evidence_reporter.h"
 #include "mesh/peer_session.h"
 #include "mesh/store_listeners.h"
+#include "mesh/usage_limiter.h"
 #include "mesh/worker_report_handler.h"
 #include "net/suspension_clock.h"
 
@@ -93,6 +94,7 @@
   mesh_state State;
   home_runner Home;
   peer_hub Hub;
+  usage_limiter Usage;
   entry_router Router;
   std::unique_ptr<config_store> OperatorStore;
   std::unique_ptr<config_store> MeshStore;
--- a/src/chivebeam/mesh/mesh_state.h
+++ b/src/chivebeam/mesh/mesh_state.h
@@ -35,6 +35,8 @@
   using suspect_handler = std::function<void(const std::vector<suspect_event> &,
                                              const node_id &From)>;
   using era_handler = std::function<void(store_era)>;
+  using usage_handler =
+      std::function<void(const usage_message &, const node_id &From)>;
   using status_handler =
       std::function<void(const node_id &From, const peer_status &)>;
 
@@ -60,6 +62,7 @@
   void onEraRise(era_handler Handler) { OnEraRise = std::move(Handler); }
   /// Called after a newer configuration came into force on this node.
   void onNewConfig(change_handler Handler) { OnNewConfig = std::move(Handler); }
+  void onUsage(usage_handler Handler) { OnUsage = std::move(Handler); }
   void onPeerStatus(status_handler Handler) {
     OnPeerStatus = std::move(Handler);
   }
@@ -128,6 +131,10 @@
   void applyMove(const service_move &Move, const node_id &From) override;
   /// Applies a move that this node has decided or read from the store.
   void applyMove(const service_move &Move) { applyMove(Move, Own.Node); }
+  void handleUsage(const usage_message &Message, const node_id &From) override {
+    if (OnUsage)
+      OnUsage(Message, From);
+  }
   bool peerReported(const node_id &From, const peer_status &Status) override;
   std::optional<node_id> nextConfigSource(instant Now) override {
     return CatchUp.nextSource(configNumber(), Now);
@@ -187,6 +194,7 @@
   news_handler OnNews;
   move_handler OnMoveNews;
   suspect_handler OnSuspectNews;
+  usage_handler OnUsage;
   status_handler OnPeerStatus;
   era_handler OnEraRise;
 };
--- a/src/chivebeam/mesh/peer_hub.cpp
+++ b/src/chivebeam/mesh/peer_hub.cpp
@@ -73,15 +73,20 @@
     Link->ping();
 }
 
-void peer_hub::sendOverAny(const node_id &Node, const peer_frame &Frame) {
+bool peer_hub::sendIfOpen(const node_id &Node, const peer_frame &Frame) {
   auto Link = Links.find(Node);
-  if (Link != Links.end() && Link->second->isOpen())
-    return Link->second->send(Frame);
+  if (Link != Links.end() && Link->second->isOpen()) {
+    Link->second->send(Frame);
+    return true;
+  }
   for (auto Weak = Sessions.rbegin(); Weak != Sessions.rend(); ++Weak)
     if (auto Session = Weak->lock();
-        Session && Session->isOpen() && Session->peer() == Node)
-      return Session->send(Frame);
-  send(Node, Frame);
+        Session && Session->isOpen() && Session->peer() == Node) {
+      Session->send(Frame);
+      return true;
+    }
+  ping(Node);
+  return false;
 }
 
 std::vector<std::shared_ptr<peer_session>> peer_hub::openSubscribers() const {
--- a/src/chivebeam/mesh/peer_hub.h
+++ b/src/chivebeam/mesh/peer_hub.h
@@ -32,6 +32,9 @@
   /// Sends a frame if the link to the node is open. Otherwise the frame is
   /// dropped and the link is opened for the next one.
   void send(const node_id &Node, const peer_frame &Frame);
+  /// Sends a frame over an open connection with the node, whichever node opened
+  /// it. Returns false if there is none; a link is opened for the next frame.
+  bool sendIfOpen(const node_id &Node, const peer_frame &Frame);
   /// Sends a frame to all subscribers and to the nodes to which this node
   /// subscribes, except to the node Skipped.
   void broadcast(const peer_frame &Frame, const node_id &Skipped = node_id());
@@ -50,6 +53,10 @@
     broadcast(Protocol.moveFrame(Move), Skipped);
   }
   void tick(instant Now);
+  bool hasOpenLink(const node_id &Node) const {
+    auto Found = Links.find(Node);
+    return Found != Links.end() && Found->second->isOpen();
+  }
   std::size_t openLinks() const;
   std::size_t subscribers() const;
   /// True while a connection that another node opened has calls or frames that
@@ -75,7 +82,9 @@
   std::vector<std::shared_ptr<peer_session>> openSubscribers() const;
   /// Sends a frame over the newest open connection with the node, whichever
   /// node opened it; opens a link if there is none.
-  void sendOverAny(const node_id &Node, const peer_frame &Frame);
+  void sendOverAny(const node_id &Node, const peer_frame &Frame) {
+    sendIfOpen(Node, Frame);
+  }
 
   asio::io_context &Context;
   peer_state_listener &PeerState;
--- a/src/chivebeam/mesh/peer_protocol.cpp
+++ b/src/chivebeam/mesh/peer_protocol.cpp
@@ -141,6 +141,12 @@
     else
       log_event("bad_move").add("error", Move.error().text());
     return true;
+  case frame_kind::usage_ask:
+  case frame_kind::usage_grant:
+    if (!From.empty())
+      PeerState.handleUsage({Frame.Call, Frame.UsageAsks, Frame.UsageGrants},
+                            From);
+    return true;
   case frame_kind::call:
   case frame_kind::answer:
   case frame_kind::cancel:
--- a/src/chivebeam/mesh/peer_state_listener.h
+++ b/src/chivebeam/mesh/peer_state_listener.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <vector>
 
+#include "limits/usage_messages.h"
 #include "membership/record_digest.h"
 #include "mesh/mesh_call.h"
 #include "moves/evidence.h"
@@ -54,6 +55,9 @@
   virtual void applyMove(const service_move &Move, const node_id &From) = 0;
   virtual void applySuspects(const std::vector<suspect_event> &Events,
                              const node_id &From) = 0;
+  /// Called with requests for tokens of usage caps, or with their answer.
+  virtual void handleUsage(const usage_message &Message,
+                           const node_id &From) = 0;
   /// Called with the status in each frame of another node; From is empty if
   /// that node is not known yet. Returns whether to request its configuration.
   virtual bool peerReported(const node_id &From, const peer_status &Status) = 0;
--- a/src/chivebeam/wire/peer_frame.cpp
+++ b/src/chivebeam/wire/peer_frame.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "wire/thrift_codec.h"
+#include "wire/usage_wire.h"
 #include "wire/wire_convert.h"
 
 namespace chivebeam {
@@ -316,6 +317,10 @@
       Events.push_back(toWire(Event, Now));
     Out.__set_suspects(Events);
   }
+  if (Frame.Kind == frame_kind::usage_ask)
+    Out.__set_usage_asks(chivebeam::toWire(Frame.UsageAsks));
+  if (Frame.Kind == frame_kind::usage_grant)
+    Out.__set_usage_grants(chivebeam::toWire(Frame.UsageGrants));
   if (Frame.AcceptsParts)
     Out.__set_accepts_parts(true);
   if (Frame.PartedBytes > 0)
@@ -348,7 +353,7 @@
   if (!In)
     return tl::unexpected(In.error());
   if (In->kind < 0 ||
-      In->kind > static_cast<std::int32_t>(frame_kind::body_part))
+      In->kind > static_cast<std::int32_t>(frame_kind::usage_grant))
     return tl::unexpected(invalidFrame("the frame has an unknown kind"));
   peer_frame Frame;
   Frame.Kind = static_cast<frame_kind>(In->kind);
@@ -377,6 +382,8 @@
     Frame.Suspects.push_back(fromWire(Event, Now));
   if (In->__isset.evidence)
     Frame.Evidence = chivebeam::fromWire(In->evidence);
+  Frame.UsageAsks = chivebeam::fromWire(In->usage_asks);
+  Frame.UsageGrants = chivebeam::fromWire(In->usage_grants);
   Frame.AcceptsParts = In->__isset.accepts_parts && In->accepts_parts;
   if (In->__isset.body_bytes && In->body_bytes > 0)
     Frame.PartedBytes = static_cast<std::uint64_t>(In->body_bytes);
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "limits/usage_messages.h"
 #include "membership/record_digest.h"
 #include "mesh/mesh_call.h"
 #include "moves/evidence.h"
@@ -30,6 +31,8 @@
   body = 13,         ///< the body of an offered call
   subscribe = 14,    ///< the sender wants all changes of records and moves
   body_part = 15,    ///< the next part of the body of a call or an answer
+  usage_ask = 17,    ///< requests tokens of usage caps from their owner
+  usage_grant = 18,  ///< the answer to a usage_ask
 };
 
 /// One frame. Its kind determines which parts it has. A plain value.
@@ -54,6 +57,9 @@
   std::size_t SkippedRecords = 0;
   std::optional<evidence_report> Evidence;
   std::vector<suspect_event> Suspects; ///< in frames of kind records
+  /// In frames of kind usage_ask and usage_grant; Call is their number.
+  std::vector<usage_ask> UsageAsks;
+  std::vector<usage_grant> UsageGrants;
   /// The sender can read the body that it asks for in parts. A process of an
   /// earlier version neither says so nor reads parts.
   bool AcceptsParts = false;
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -221,6 +221,21 @@
   4: i64 age_us
 }
 
+// Request for tokens of a workspace's usage cap.
+struct usage_ask {
+  1: string workspace
+  2: i32 waiting
+  3: i32 ahead
+  4: i32 unspent
+  5: i32 returned
+}
+
+struct usage_grant {
+  1: string workspace
+  2: i32 tokens
+  3: i64 retry_after_us
+}
+
 struct peer_frame {
   1: i32 kind
   // Number of the call or query that the frame belongs to.
@@ -250,4 +265,7 @@
   15: optional bool accepts_parts
   // Size of the body of the answer, which follows in frames of kind body_part.
   16: optional i64 body_bytes
+  // Requests for tokens and the answers to them; call is their number.
+  19: optional list<usage_ask> usage_asks
+  20: optional list<usage_grant> usage_grants
 }
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -4248,6 +4248,310 @@
 }
 
 
+usage_ask::~usage_ask() noexcept {
+}
+
+
+void usage_ask::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void usage_ask::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void usage_ask::__set_ahead(const int32_t val) {
+  this->ahead = val;
+}
+
+void usage_ask::__set_unspent(const int32_t val) {
+  this->unspent = val;
+}
+
+void usage_ask::__set_returned(const int32_t val) {
+  this->returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_ask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_ask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ahead);
+          this->__isset.ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unspent);
+          this->__isset.unspent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_ask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_ask");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ahead", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ahead);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unspent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->unspent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_ask &a, usage_ask &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.waiting, b.waiting);
+  swap(a.ahead, b.ahead);
+  swap(a.unspent, b.unspent);
+  swap(a.returned, b.returned);
+  swap(a.__isset, b.__isset);
+}
+
+usage_ask::usage_ask(const usage_ask& other100) {
+  workspace = other100.workspace;
+  waiting = other100.waiting;
+  ahead = other100.ahead;
+  unspent = other100.unspent;
+  returned = other100.returned;
+  __isset = other100.__isset;
+}
+usage_ask& usage_ask::operator=(const usage_ask& other101) {
+  workspace = other101.workspace;
+  waiting = other101.waiting;
+  ahead = other101.ahead;
+  unspent = other101.unspent;
+  returned = other101.returned;
+  __isset = other101.__isset;
+  return *this;
+}
+void usage_ask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_ask(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "ahead=" << to_string(ahead);
+  out << ", " << "unspent=" << to_string(unspent);
+  out << ", " << "returned=" << to_string(returned);
+  out << ")";
+}
+
+
+usage_grant::~usage_grant() noexcept {
+}
+
+
+void usage_grant::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void usage_grant::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+
+void usage_grant::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_grant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_grant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_us);
+          this->__isset.retry_after_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_grant");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->retry_after_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_grant &a, usage_grant &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.tokens, b.tokens);
+  swap(a.retry_after_us, b.retry_after_us);
+  swap(a.__isset, b.__isset);
+}
+
+usage_grant::usage_grant(const usage_grant& other102) {
+  workspace = other102.workspace;
+  tokens = other102.tokens;
+  retry_after_us = other102.retry_after_us;
+  __isset = other102.__isset;
+}
+usage_grant& usage_grant::operator=(const usage_grant& other103) {
+  workspace = other103.workspace;
+  tokens = other103.tokens;
+  retry_after_us = other103.retry_after_us;
+  __isset = other103.__isset;
+  return *this;
+}
+void usage_grant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_grant(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "retry_after_us=" << to_string(retry_after_us);
+  out << ")";
+}
+
+
 peer_frame::~peer_frame() noexcept {
 }
 
@@ -4323,6 +4627,16 @@
   this->body_bytes = val;
 __isset.body_bytes = true;
 }
+
+void peer_frame::__set_usage_asks(const std::vector<usage_ask> & val) {
+  this->usage_asks = val;
+__isset.usage_asks = true;
+}
+
+void peer_frame::__set_usage_grants(const std::vector<usage_grant> & val) {
+  this->usage_grants = val;
+__isset.usage_grants = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_frame& obj)
 {
   obj.printTo(out);
@@ -4395,14 +4709,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->records.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->records.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->records[_i104].read(iprot);
+              xfer += this->records[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4447,14 +4761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->buckets.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->buckets.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += iprot->readI64(this->buckets[_i109]);
+              xfer += iprot->readI64(this->buckets[_i113]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4483,14 +4797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->suspects.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->suspects.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->suspects[_i114].read(iprot);
+              xfer += this->suspects[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4515,6 +4829,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage_asks.clear();
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->usage_asks.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
+            {
+              xfer += this->usage_asks[_i123].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage_asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage_grants.clear();
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->usage_grants.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
+            {
+              xfer += this->usage_grants[_i128].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage_grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4558,10 +4912,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<home_record> ::const_iterator _iter115;
-      for (_iter115 = this->records.begin(); _iter115 != this->records.end(); ++_iter115)
+      std::vector<home_record> ::const_iterator _iter129;
+      for (_iter129 = this->records.begin(); _iter129 != this->records.end(); ++_iter129)
       {
-        xfer += (*_iter115).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4588,10 +4942,10 @@
     xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-      std::vector<int64_t> ::const_iterator _iter116;
-      for (_iter116 = this->buckets.begin(); _iter116 != this->buckets.end(); ++_iter116)
+      std::vector<int64_t> ::const_iterator _iter130;
+      for (_iter130 = this->buckets.begin(); _iter130 != this->buckets.end(); ++_iter130)
       {
-        xfer += oprot->writeI64((*_iter116));
+        xfer += oprot->writeI64((*_iter130));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4609,10 +4963,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<suspect_event> ::const_iterator _iter117;
-      for (_iter117 = this->suspects.begin(); _iter117 != this->suspects.end(); ++_iter117)
+      std::vector<suspect_event> ::const_iterator _iter131;
+      for (_iter131 = this->suspects.begin(); _iter131 != this->suspects.end(); ++_iter131)
       {
-        xfer += (*_iter117).write(oprot);
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4628,6 +4982,32 @@
     xfer += oprot->writeI64(this->body_bytes);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.usage_asks) {
+    xfer += oprot->writeFieldBegin("usage_asks", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage_asks.size()));
+      std::vector<usage_ask> ::const_iterator _iter132;
+      for (_iter132 = this->usage_asks.begin(); _iter132 != this->usage_asks.end(); ++_iter132)
+      {
+        xfer += (*_iter132).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage_grants) {
+    xfer += oprot->writeFieldBegin("usage_grants", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage_grants.size()));
+      std::vector<usage_grant> ::const_iterator _iter133;
+      for (_iter133 = this->usage_grants.begin(); _iter133 != this->usage_grants.end(); ++_iter133)
+      {
+        xfer += (*_iter133).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4651,46 +5031,52 @@
   swap(a.suspects, b.suspects);
   swap(a.accepts_parts, b.accepts_parts);
   swap(a.body_bytes, b.body_bytes);
+  swap(a.usage_asks, b.usage_asks);
+  swap(a.usage_grants, b.usage_grants);
   swap(a.__isset, b.__isset);
 }
 
-peer_frame::peer_frame(const peer_frame& other118) {
-  kind = other118.kind;
-  call = other118.call;
-  config = other118.config;
-  request = other118.request;
-  answer = other118.answer;
-  records = other118.records;
-  evidence = other118.evidence;
-  digest = other118.digest;
-  store_current = other118.store_current;
-  store_era = other118.store_era;
-  buckets = other118.buckets;
-  covered_buckets = other118.covered_buckets;
-  store_age_us = other118.store_age_us;
-  suspects = other118.suspects;
-  accepts_parts = other118.accepts_parts;
-  body_bytes = other118.body_bytes;
-  __isset = other118.__isset;
-}
-peer_frame& peer_frame::operator=(const peer_frame& other119) {
-  kind = other119.kind;
-  call = other119.call;
-  config = other119.config;
-  request = other119.request;
-  answer = other119.answer;
-  records = other119.records;
-  evidence = other119.evidence;
-  digest = other119.digest;
-  store_current = other119.store_current;
-  store_era = other119.store_era;
-  buckets = other119.buckets;
-  covered_buckets = other119.covered_buckets;
-  store_age_us = other119.store_age_us;
-  suspects = other119.suspects;
-  accepts_parts = other119.accepts_parts;
-  body_bytes = other119.body_bytes;
-  __isset = other119.__isset;
+peer_frame::peer_frame(const peer_frame& other134) {
+  kind = other134.kind;
+  call = other134.call;
+  config = other134.config;
+  request = other134.request;
+  answer = other134.answer;
+  records = other134.records;
+  evidence = other134.evidence;
+  digest = other134.digest;
+  store_current = other134.store_current;
+  store_era = other134.store_era;
+  buckets = other134.buckets;
+  covered_buckets = other134.covered_buckets;
+  store_age_us = other134.store_age_us;
+  suspects = other134.suspects;
+  accepts_parts = other134.accepts_parts;
+  body_bytes = other134.body_bytes;
+  usage_asks = other134.usage_asks;
+  usage_grants = other134.usage_grants;
+  __isset = other134.__isset;
+}
+peer_frame& peer_frame::operator=(const peer_frame& other135) {
+  kind = other135.kind;
+  call = other135.call;
+  config = other135.config;
+  request = other135.request;
+  answer = other135.answer;
+  records = other135.records;
+  evidence = other135.evidence;
+  digest = other135.digest;
+  store_current = other135.store_current;
+  store_era = other135.store_era;
+  buckets = other135.buckets;
+  covered_buckets = other135.covered_buckets;
+  store_age_us = other135.store_age_us;
+  suspects = other135.suspects;
+  accepts_parts = other135.accepts_parts;
+  body_bytes = other135.body_bytes;
+  usage_asks = other135.usage_asks;
+  usage_grants = other135.usage_grants;
+  __isset = other135.__isset;
   return *this;
 }
 void peer_frame::printTo(std::ostream& out) const {
@@ -4712,6 +5098,8 @@
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "accepts_parts="; (__isset.accepts_parts ? (out << to_string(accepts_parts)) : (out << "<null>"));
   out << ", " << "body_bytes="; (__isset.body_bytes ? (out << to_string(body_bytes)) : (out << "<null>"));
+  out << ", " << "usage_asks="; (__isset.usage_asks ? (out << to_string(usage_asks)) : (out << "<null>"));
+  out << ", " << "usage_grants="; (__isset.usage_grants ? (out << to_string(usage_grants)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -59,6 +59,10 @@
 
 class suspect_event;
 
+class usage_ask;
+
+class usage_grant;
+
 class peer_frame;
 
 typedef struct _address__isset {
@@ -1680,8 +1684,136 @@
 
 std::ostream& operator<<(std::ostream& out, const suspect_event& obj);
 
+typedef struct _usage_ask__isset {
+  _usage_ask__isset() : workspace(false), waiting(false), ahead(false), unspent(false), returned(false) {}
+  bool workspace :1;
+  bool waiting :1;
+  bool ahead :1;
+  bool unspent :1;
+  bool returned :1;
+} _usage_ask__isset;
+
+class usage_ask : public virtual ::apache::thrift::TBase {
+ public:
+
+  usage_ask(const usage_ask&);
+  usage_ask& operator=(const usage_ask&);
+  usage_ask() noexcept
+            : workspace(),
+              waiting(0),
+              ahead(0),
+              unspent(0),
+              returned(0) {
+  }
+
+  virtual ~usage_ask() noexcept;
+  std::string workspace;
+  int32_t waiting;
+  int32_t ahead;
+  int32_t unspent;
+  int32_t returned;
+
+  _usage_ask__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_ahead(const int32_t val);
+
+  void __set_unspent(const int32_t val);
+
+  void __set_returned(const int32_t val);
+
+  bool operator == (const usage_ask & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(ahead == rhs.ahead))
+      return false;
+    if (!(unspent == rhs.unspent))
+      return false;
+    if (!(returned == rhs.returned))
+      return false;
+    return true;
+  }
+  bool operator != (const usage_ask &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const usage_ask & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(usage_ask &a, usage_ask &b);
+
+std::ostream& operator<<(std::ostream& out, const usage_ask& obj);
+
+typedef struct _usage_grant__isset {
+  _usage_grant__isset() : workspace(false), tokens(false), retry_after_us(false) {}
+  bool workspace :1;
+  bool tokens :1;
+  bool retry_after_us :1;
+} _usage_grant__isset;
+
+class usage_grant : public virtual ::apache::thrift::TBase {
+ public:
+
+  usage_grant(const usage_grant&);
+  usage_grant& operator=(const usage_grant&);
+  usage_grant() noexcept
+              : workspace(),
+                tokens(0),
+                retry_after_us(0) {
+  }
+
+  virtual ~usage_grant() noexcept;
+  std::string workspace;
+  int32_t tokens;
+  int64_t retry_after_us;
+
+  _usage_grant__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_retry_after_us(const int64_t val);
+
+  bool operator == (const usage_grant & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(retry_after_us == rhs.retry_after_us))
+      return false;
+    return true;
+  }
+  bool operator != (const usage_grant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const usage_grant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(usage_grant &a, usage_grant &b);
+
+std::ostream& operator<<(std::ostream& out, const usage_grant& obj);
+
 typedef struct _peer_frame__isset {
-  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), store_age_us(false), suspects(false), accepts_parts(false), body_bytes(false) {}
+  _peer_frame__isset() : kind(false), call(false), config(false), request(false), answer(false), records(false), evidence(false), digest(false), store_current(false), store_era(false), buckets(false), covered_buckets(false), store_age_us(false), suspects(false), accepts_parts(false), body_bytes(false), usage_asks(false), usage_grants(false) {}
   bool kind :1;
   bool call :1;
   bool config :1;
@@ -1698,6 +1830,8 @@
   bool suspects :1;
   bool accepts_parts :1;
   bool body_bytes :1;
+  bool usage_asks :1;
+  bool usage_grants :1;
 } _peer_frame__isset;
 
 class peer_frame : public virtual ::apache::thrift::TBase {
@@ -1735,6 +1869,8 @@
   std::vector<suspect_event>  suspects;
   bool accepts_parts;
   int64_t body_bytes;
+  std::vector<usage_ask>  usage_asks;
+  std::vector<usage_grant>  usage_grants;
 
   _peer_frame__isset __isset;
 
@@ -1770,6 +1906,10 @@
 
   void __set_body_bytes(const int64_t val);
 
+  void __set_usage_asks(const std::vector<usage_ask> & val);
+
+  void __set_usage_grants(const std::vector<usage_grant> & val);
+
   bool operator == (const peer_frame & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1820,6 +1960,14 @@
       return false;
     else if (__isset.body_bytes && !(body_bytes == rhs.body_bytes))
       return false;
+    if (__isset.usage_asks != rhs.__isset.usage_asks)
+      return false;
+    else if (__isset.usage_asks && !(usage_asks == rhs.usage_asks))
+      return false;
+    if (__isset.usage_grants != rhs.__isset.usage_grants)
+      return false;
+    else if (__isset.usage_grants && !(usage_grants == rhs.usage_grants))
+      return false;
     return true;
   }
   bool operator != (const peer_frame &rhs) const {
