--- a/src/chivebeam/mesh/peer_state_listener.h
+++ b/src/chivebeam/mesh/peer_state_listener.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <vector>
 
+#include "limits/usage_messages.h"
 #include "membership/record_digest.h"
 #include "mesh/mesh_call.h"
 #include "moves/evidence.h"
@@ -61,6 +62,9 @@
   /// empty, knows.
   virtual void applyEvacuations(const evacuation_orders &Orders,
                                 const node_id &From) = 0;
+  /// Called with requests for tokens of usage caps, or with their answer.
+  virtual void handleUsage(const usage_message &Message,
+                           const node_id &From) = 0;
   /// Called with the status in each frame of another node; From is empty if
   /// that node is not known yet. Returns whether to request its configuration.
   virtual bool peerReported(const node_id &From, const peer_status &Status) = 0;
--- a/src/chivebeam/wire/peer_frame.h
+++ b/src/chivebeam/wire/peer_frame.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "limits/usage_messages.h"
 #include "membership/record_digest.h"
 #include "mesh/mesh_call.h"
 #include "moves/evidence.h"
@@ -31,6 +32,8 @@
   body = 13,         ///< the body of an offered call
   subscribe = 14,    ///< the sender wants all changes of records and moves
   body_part = 15,    ///< the next part of the body of a call or an answer
+  usage_ask = 17,    ///< requests tokens of usage caps from their owner
+  usage_grant = 18,  ///< the answer to a usage_ask
 };
 
 /// One frame. Its kind determines which parts it has. A plain value.
@@ -57,6 +60,9 @@
   std::vector<suspect_event> Suspects; ///< in frames of kind records
   /// With the status of the sender, once it has known an order.
   std::optional<evacuation_orders> Evacuations;
+  /// In frames of kind usage_ask and usage_grant; Call is their number.
+  std::vector<usage_ask> UsageAsks;
+  std::vector<usage_grant> UsageGrants;
   /// The sender can read the body that it asks for in parts. A process of an
   /// earlier version neither says so nor reads parts.
   bool AcceptsParts = false;
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -229,6 +229,21 @@
   3: list<string> domains
 }
 
+// Request for tokens of a workspace's usage cap.
+struct usage_ask {
+  1: string workspace
+  2: i32 waiting
+  3: i32 ahead
+  4: i32 unspent
+  5: i32 returned
+}
+
+struct usage_grant {
+  1: string workspace
+  2: i32 tokens
+  3: i64 retry_after_us
+}
+
 struct peer_frame {
   1: i32 kind
   // Number of the call or query that the frame belongs to.
@@ -260,4 +275,7 @@
   16: optional i64 body_bytes
   // With the status of the sender, once it has known an order.
   17: optional evacuation_orders evacuations
+  // Requests for tokens and the answers to them; call is their number.
+  19: optional list<usage_ask> usage_asks
+  20: optional list<usage_grant> usage_grants
 }
