Serve only calls with a key of a workspace

Cause: with workspaces in the configuration, a call needs an API key, and a backend server must see its workspace and never the key. Change: the entry node checks the key before the body is read, again when the body is complete, and the workspace before a call is sent again. 401 without a known key, 503 while a newer configuration may exist. The key and a forged workspace are removed. Without workspaces nothing changes. The new tests are not run yet.

--- a/src/chivebeam/mesh/call_preparer.cpp
+++ b/src/chivebeam/mesh/call_preparer.cpp
@@ -28,6 +28,7 @@
 }
 
 void call_preparer::prepare(entry_call &Entry, const route_rule &Route,
+                            const call_permission &Permission,
                             entry_request Request) {
   Entry.AssumedDuration = Route.Goal / AssumedDurationDivisor;
   Entry.ArrivedAt = Request.ArrivedAt;
@@ -37,6 +38,11 @@
   Call.Service = Services.choose(Route);
   Call.Idempotent = Route.Idempotent;
   Call.Urgency = Route.Urgency;
+  if (Permission.Workspace) {
+    Call.Workspace = Permission.Workspace->Name;
+    Call.WorkspacePriority = Permission.Workspace->Priority;
+  }
+  Entry.Key = std::move(Request.Key);
   std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
   Call.Nested = Parent.has_value();
   milliseconds Longest =
@@ -52,7 +58,7 @@
   Call.Method = std::move(Request.Method);
   Call.Target = std::move(Request.Target);
   Call.Fields = std::move(Request.Fields);
-  Protocol.setCaller(Call.Fields, Settings.Service);
+  Protocol.setCaller(Call.Fields, Settings.Service, Call.Workspace);
   Call.Body = std::move(Request.Body);
   Entry.History.Idempotent = Route.Idempotent;
   Entry.History.MaxServers = std::max(Route.MaxWorkers, 1U);
--- a/src/chivebeam/mesh/call_preparer.h
+++ b/src/chivebeam/mesh/call_preparer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/key_check.h"
 #include "mesh/call_protocol.h"
 #include "mesh/entry_call.h"
 #include "mesh/mesh_settings.h"
@@ -19,6 +20,7 @@
   /// Time that the caller waits for the answer.
   std::optional<milliseconds> CallerTimeout;
   instant ArrivedAt;
+  api_key Key; ///< empty if the caller sends none
 };
 
 /// Decides the service, version, deadline and goal of a call that arrives at
@@ -32,9 +34,9 @@
   }
 
   /// Fills Entry, apart from what depends on its parent call. \pre Entry has a
-  /// view that contains the route.
+  /// view that contains the route and the workspace.
   void prepare(entry_call &Entry, const route_rule &Route,
-               entry_request Request);
+               const call_permission &Permission, entry_request Request);
   /// Forgets what belongs to other routes.
   void keepOnly(const std::vector<route_rule> &Routes) {
     Services.keepOnly(Routes);
--- a/src/chivebeam/mesh/call_protocol.h
+++ b/src/chivebeam/mesh/call_protocol.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "config/api_key.h"
 #include "mesh/mesh_call.h"
 
 namespace chivebeam {
@@ -12,6 +13,7 @@
   request_id Id; ///< empty if the caller sends none
   /// Time that the caller waits for the answer.
   std::optional<milliseconds> CallerTimeout;
+  api_key Key; ///< empty if the caller sends none
 };
 
 /// An answer that the node generates itself.
@@ -37,10 +39,11 @@
   virtual ~call_protocol() = default;
 
   virtual caller_metadata readMetadata(const http::fields &Fields) const = 0;
-  /// Sets the service of the instance where the call began, and overwrites what
-  /// its caller sent.
-  virtual void setCaller(header_list &Fields,
-                         const service_name &Caller) const = 0;
+  /// Sets the service of the instance where the call began and the workspace of
+  /// its caller, if there is one; overwrites what the caller sent and removes
+  /// its API key.
+  virtual void setCaller(header_list &Fields, const service_name &Caller,
+                         const workspace_name &Workspace) const = 0;
   /// Adds the fields that the backend server needs to run the call.
   virtual void addWorkerFields(header_list &Fields, const mesh_call &Call,
                                milliseconds TimeLeft) const = 0;
--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -173,14 +173,15 @@
     co_return false;
   instant ArrivedAt = Reader.lastReadAt();
   const auto &Header = Parser.get();
-  request_id Id = Shared.Protocol.readMetadata(Header.base()).Id;
+  const caller_metadata Metadata = Shared.Protocol.readMetadata(Header.base());
+  const request_id &Id = Metadata.Id;
   bool Keep = Header.keep_alive() && Parser.is_done();
   if (checkRequest(Header.base()))
     co_return co_await refuse(own_answer::bad_request, Id, false);
   auto Host = Header[http::field::host];
-  route_check Route =
-      Shared.Router.checkRoute(std::string(Host), std::string(Header.target()),
-                               std::string(Header.method_string()));
+  route_check Route = Shared.Router.checkRoute(
+      std::string(Host), std::string(Header.target()),
+      std::string(Header.method_string()), Metadata.Key);
   if (Route.Problem)
     co_return co_await refuse(*Route.Problem, Id, Keep);
   // An interim answer must not get between the answers to other requests.
@@ -227,6 +228,7 @@
   entry_request Entry;
   Entry.Id = Metadata.Id;
   Entry.CallerTimeout = Metadata.CallerTimeout;
+  Entry.Key = std::move(Metadata.Key);
   Entry.Method = std::string(Request.method_string());
   Entry.Target = std::string(Request.target());
   Entry.Host = std::string(Request[http::field::host]);
--- a/src/chivebeam/mesh/entry_call.h
+++ b/src/chivebeam/mesh/entry_call.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <set>
 
+#include "config/api_key.h"
 #include "mesh/silent_attempts.h"
 #include "routing/retry_policy.h"
 
@@ -13,6 +14,7 @@
   fleet_view_ptr View;
   /// Expected run time before one is measured.
   microseconds AssumedDuration{0};
+  api_key Key; ///< of the caller
   version_name Version;
   bool OnNewVersion = false;
   mesh_call Call;
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -67,15 +67,26 @@
 
 route_check entry_router::checkRoute(const std::string &Host,
                                      const std::string &Target,
-                                     const std::string &Method) const {
+                                     const std::string &Method,
+                                     const api_key &Key) const {
   if (!State.view())
     return {own_answer::not_ready};
-  const route_rule *Route =
-      State.view()->Config->match(Host, pathOf(Target), Method);
-  if (Route)
+  const snapshot &Config = *State.view()->Config;
+  const route_rule *Route = Config.match(Host, pathOf(Target), Method);
+  if (Route && checkKey(Config, *Route, Key))
     return {std::nullopt, Route->Idempotent};
-  // The route may be in a configuration that has not arrived yet.
-  return {ConfigMayBeStale() ? own_answer::not_ready : own_answer::no_route};
+  // The route or key may be in a configuration that has not arrived yet.
+  if (ConfigMayBeStale())
+    return {own_answer::not_ready};
+  return {Route ? own_answer::unauthorized : own_answer::no_route};
+}
+
+entry_result entry_router::ownResult(own_answer Answer) {
+  return {entry_result::kind::own, {}, Answer, addJitter(NoServerRetryAfter)};
+}
+
+bool entry_router::isKeyRevoked(const entry_call &Entry) const {
+  return !isKeyOf(*State.view()->Config, Entry.Key, Entry.Call.Workspace);
 }
 
 awaitable<entry_result> entry_router::run(entry_request Request,
@@ -83,23 +94,19 @@
   entry_call Entry;
   Entry.View = State.view();
   if (Closed && !Protocol.parentOf(Request.Id))
-    co_return entry_result{entry_result::kind::own,
-                           {},
-                           own_answer::not_run,
-                           addJitter(NoServerRetryAfter)};
-  if (!Entry.View)
-    co_return entry_result{entry_result::kind::own,
-                           {},
-                           own_answer::not_ready,
-                           addJitter(NoServerRetryAfter)};
+    co_return ownResult(own_answer::not_run);
+  // The configuration may have changed while the body was read.
+  route_check Check =
+      checkRoute(Request.Host, Request.Target, Request.Method, Request.Key);
+  if (Check.Problem)
+    co_return ownResult(*Check.Problem);
   const route_rule *Route = Entry.View->Config->match(
       Request.Host, pathOf(Request.Target), Request.Method);
-  if (!Route)
-    co_return entry_result{
-        entry_result::kind::own, {}, own_answer::no_route, {}};
+  call_permission Permission =
+      *checkKey(*Entry.View->Config, *Route, Request.Key);
   instant Now = currentTime();
   std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
-  Preparer.prepare(Entry, *Route, std::move(Request));
+  Preparer.prepare(Entry, *Route, Permission, std::move(Request));
   Entry.Call.IsRetry = Parent && Home.isRunningRetry(*Parent);
   if (Entry.Call.IsRetry)
     RetryBudget.recordRetry(Entry.Call.Service, Now);
@@ -203,6 +210,8 @@
     instant Started = currentTime();
     if (Ending)
       co_return endAtEntry(Entry, "this node is about to end");
+    if (Entry.Attempts > 0 && isKeyRevoked(Entry))
+      co_return endAtEntry(Entry, "the API key of the caller was removed");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
     const endpoint *Chosen = choose(Entry, Started);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -47,7 +47,7 @@
   }
   /// Checks a call before its body is read.
   route_check checkRoute(const std::string &Host, const std::string &Target,
-                         const std::string &Method) const;
+                         const std::string &Method, const api_key &Key) const;
   /// Runs a call until it is answered or refused, or its caller is gone.
   awaitable<entry_result> run(entry_request Request, cancel_signal Cancel);
 
@@ -64,6 +64,11 @@
   downstream_services &downstream() { return Downstream; }
 
 private:
+  /// Returns an answer that this node generates, with a retry time.
+  entry_result ownResult(own_answer Answer);
+  /// True if the configuration in force no longer lets the caller of a call
+  /// that is about to be sent again use its workspace.
+  bool isKeyRevoked(const entry_call &Entry) const;
   awaitable<entry_result> runAttempts(entry_call &Entry, cancel_signal Cancel);
   awaitable<mesh_answer> runAttempt(entry_call &Entry, endpoint Endpoint,
                                     cancel_signal Cancel);
--- a/src/libchivebeam/config/api_key.h
+++ b/src/libchivebeam/config/api_key.h
@@ -27,13 +27,14 @@
       return false;
     unsigned Difference = 0;
     for (std::size_t Index = 0; Index < Left.Secret.size(); ++Index)
-      Difference |= static_cast<unsigned>(Left.Secret[Index] ^
-                                          Right.Secret[Index]);
+      Difference |=
+          static_cast<unsigned>(Left.Secret[Index] ^ Right.Secret[Index]);
     return Difference == 0;
   }
 
 private:
-  friend class snapshot_builder; // the digest of a configuration covers its keys
+  friend class snapshot_builder; // the digest of a configuration covers its
+                                 // keys
   std::string_view secret() const { return Secret; }
 
   std::string Secret;
--- a/src/libchivebeam/config/snapshot_builder.cpp
+++ b/src/libchivebeam/config/snapshot_builder.cpp
@@ -238,8 +238,7 @@
                         "write the key or remove it"});
     // The message names no key, since it is logged.
     else if (!KnownKeys.insert(Key.secret()).second)
-      Errors.push_back({error_kind::conflict, KeyPath,
-                        "the key stands twice",
+      Errors.push_back({error_kind::conflict, KeyPath, "the key stands twice",
                         "give each workspace keys of its own"});
   }
 }
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -111,6 +111,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(workspaces_are_read_and_wrong_ones_named_by_their_path) {
+  auto Read = [](const std::string &Workspaces) {
+    return operator_json_format().compile(replaceOnce(
+        Config, "\"limits\"", "\"tenants\": [" + Workspaces + "], \"limits\""));
+  };
+  checked<snapshot_ptr> Compiled = Read(R"(
+      {"name": "n", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 65.5,
+       "burst": 10}, {"name": "m", "apiKeys": ["k3"], "ratePerS": 0, "burst": 3})");
+  BOOST_REQUIRE(Compiled);
+  const workspace *North = (*Compiled)->findWorkspaceOf(api_key("k2"));
+  BOOST_REQUIRE(North);
+  BOOST_TEST(North->Name.str() == "n");
+  BOOST_TEST(North->Priority == 1u);
+  BOOST_TEST((North->Cap == usage_cap{65.5, 10}));
+  BOOST_TEST(!(*Compiled)->findWorkspace(workspace_name("m"))->Cap.isLimited());
+  for (auto [Bad, Path] :
+       {std::pair{R"({"name": "n", "apiKeys": ["k", "k"]})",
+                  "/tenants/0/apiKeys/1"},
+        std::pair{R"({"name": "n", "apiKeys": [7]})", "/tenants/0/apiKeys"},
+        std::pair{R"({"name": "n", "apiKeys": [], "ratePerS": -1})",
+                  "/tenants/0/ratePerS"},
+        std::pair{R"({"apiKeys": []})", "/tenants/0/name"}}) {
+    checked<snapshot_ptr> Refused = Read(Bad);
+    BOOST_REQUIRE(!Refused);
+    BOOST_TEST(Refused.error().front().Path == Path);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_move_order_is_read_and_its_status_written) {
   operator_json_format Format;
   BOOST_TEST(Format.isMoveOrder("op/rollout/desk"));
@@ -139,7 +167,7 @@
       {own_answer::not_run, 503},          {own_answer::may_have_run, 502},
       {own_answer::out_of_time, 504},      {own_answer::bad_request, 400},
       {own_answer::header_too_large, 431}, {own_answer::body_too_large, 413},
-      {own_answer::too_slow, 408}};
+      {own_answer::too_slow, 408},         {own_answer::unauthorized, 401}};
   for (auto [Answer, Status] : Expected) {
     BOOST_TEST(Protocol.statusOf(Answer) == Status);
     header_list Fields =
@@ -172,8 +200,12 @@
   header_list Fields{{"caller-service", "forged"},
                      {"deadline-ms", "9999"},
                      {"Expected-Instance", "forged"},
+                     {"credential", "secret"},
+                     {"Tenant", "forged"},
                      {"X-Own", "kept"}};
-  Protocol.setCaller(Fields, service_name("desk"));
+  Protocol.setCaller(Fields, service_name("desk"), workspace_name());
+  BOOST_TEST(!findField(Fields, "Tenant"));
+  BOOST_TEST(!findField(Fields, "Credential"));
   mesh_call Call;
   Call.Worker = worker_id("i-7");
   Protocol.addWorkerFields(Fields, Call, milliseconds(640));
@@ -247,6 +279,8 @@
   Call.Idempotent = true;
   Call.RefusedAtEntry = 5;
   Call.UsualDuration = milliseconds(60);
+  Call.Workspace = workspace_name("north");
+  Call.WorkspacePriority = 3;
   Call.OfferedBytes = 70'000;
   Frame.Request = Call;
   std::string Bytes = encodeFrameHead(Frame, Now);
@@ -265,6 +299,8 @@
   BOOST_TEST(Back->Request->RefusedAtEntry == 5u);
   BOOST_TEST(Back->Request->UsualDuration.count() == 60'000);
   BOOST_TEST(Back->Request->OfferedBytes == 70'000u);
+  BOOST_TEST(Back->Request->Workspace.str() == "north");
+  BOOST_TEST(Back->Request->WorkspacePriority == 3u);
   BOOST_TEST(!decodeFrame("garbage", "", Now));
   BOOST_TEST(!decodeFrameSizes(std::string(8, '\xff')));
 }
