--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -69,39 +69,46 @@
 
 route_check entry_router::checkRoute(const std::string &Host,
                                      const std::string &Target,
-                                     const std::string &Method) const {
+                                     const std::string &Method,
+                                     const api_key &Key) const {
   if (!State.view())
     return {own_answer::not_ready};
-  const route_rule *Route =
-      State.view()->Config->match(Host, pathOf(Target), Method);
-  if (Route)
+  const snapshot &Config = *State.view()->Config;
+  const route_rule *Route = Config.match(Host, pathOf(Target), Method);
+  if (Route && checkKey(Config, *Route, Key))
     return {std::nullopt, Route->Idempotent};
-  // The route may be in a configuration that has not arrived yet.
-  return {ConfigMayBeStale() ? own_answer::not_ready : own_answer::no_route};
+  // The route or key may be in a configuration that has not arrived yet.
+  if (ConfigMayBeStale())
+    return {own_answer::not_ready};
+  return {Route ? own_answer::unauthorized : own_answer::no_route};
+}
+
+entry_result entry_router::ownResult(own_answer Answer) {
+  return {entry_result::kind::own, {}, Answer, addJitter(NoServerRetryAfter)};
+}
+
+bool entry_router::isKeyRevoked(const entry_call &Entry) const {
+  return !isKeyOf(*State.view()->Config, Entry.Key, Entry.Call.Workspace);
 }
 
 awaitable<entry_result> entry_router::run(entry_request Request,
                                           cancel_signal Cancel) {
   entry_call Entry;
   Entry.View = State.view();
-  if (!Entry.View)
-    co_return entry_result{entry_result::kind::own,
-                           {},
-                           own_answer::not_ready,
-                           addJitter(NoServerRetryAfter)};
+  // The configuration may have changed while the body was read.
+  route_check Check =
+      checkRoute(Request.Host, Request.Target, Request.Method, Request.Key);
+  if (Check.Problem)
+    co_return ownResult(*Check.Problem);
   const route_rule *Route = Entry.View->Config->match(
       Request.Host, pathOf(Request.Target), Request.Method);
-  if (!Route)
-    co_return entry_result{
-        entry_result::kind::own, {}, own_answer::no_route, {}};
+  call_permission Permission =
+      *checkKey(*Entry.View->Config, *Route, Request.Key);
   std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
-  Preparer.prepare(Entry, *Route, std::move(Request));
+  Preparer.prepare(Entry, *Route, Permission, std::move(Request));
   // A call that could outlast this process is left to another node.
   if (LastAnswerAt && (!Parent || Entry.Call.Deadline > *LastAnswerAt))
-    co_return entry_result{entry_result::kind::own,
-                           {},
-                           own_answer::not_run,
-                           addJitter(NoServerRetryAfter)};
+    co_return ownResult(own_answer::not_run);
   OpenCalls.insert(&Entry);
   std::optional<microseconds> OverCapFor =
       co_await Usage.admit(Entry.Call.Workspace);
@@ -227,6 +234,8 @@
     instant Started = currentTime();
     if (isEnding(Entry))
       co_return endAtEntry(Entry, "this node is about to end");
+    if (Entry.Attempts > 0 && isKeyRevoked(Entry))
+      co_return endAtEntry(Entry, "the API key of the caller was removed");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
     const endpoint *Chosen = choose(Entry, Started);
