--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -92,6 +92,13 @@
   BOOST_TEST(!Snapshot.match("a.example", "/x", "GET"));
 }
 
+BOOST_AUTO_TEST_CASE(a_download_may_run_more_than_once) {
+  checked<snapshot_ptr> Compiled = operator_json_format().compile(
+      replaceOnce(Config, "\"upload\"", "\"download\""));
+  BOOST_REQUIRE(Compiled);
+  BOOST_TEST((*Compiled)->match("b.example", "/x/z", "GET")->Idempotent);
+}
+
 BOOST_AUTO_TEST_CASE(a_document_with_any_mistake_is_refused_whole) {
   operator_json_format Format;
   for (const std::string &Bad :
