--- a/src/chivebeam/mesh/usage_limiter.cpp
+++ b/src/chivebeam/mesh/usage_limiter.cpp
@@ -101,6 +101,7 @@
 
 void usage_limiter::serveAll() {
   std::vector<workspace_name> Names;
+  Names.reserve(Waiting.size());
   for (const auto &[Name, Queue] : Waiting)
     Names.push_back(Name);
   if (!Names.empty())
