--- a/src/chivebeam/mesh/body_budget.h
+++ b/src/chivebeam/mesh/body_budget.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 
+#include "limits/body_share.h"
+
 namespace chivebeam {
 
 class body_reservation;
@@ -12,19 +17,23 @@
 /// safe.
 class body_budget {
 public:
-  explicit body_budget(std::uint64_t MaxBytes) : MaxBytes(MaxBytes) {}
+  explicit body_budget(std::uint64_t MaxBytes)
+      : Account(std::make_shared<account>(account{MaxBytes})) {}
   body_budget(const body_budget &) = delete;
   body_budget &operator=(const body_budget &) = delete;
 
-  /// Reserves memory for a body; empty if there is not enough left. \pre The
-  /// budget outlives the reservation.
+  /// Reserves memory for a body; empty if there is not enough left.
   std::optional<body_reservation> reserve(std::uint64_t Bytes);
-  std::uint64_t reservedBytes() const { return ReservedBytes; }
+  std::uint64_t reservedBytes() const { return Account->ReservedBytes; }
 
 private:
   friend class body_reservation;
-  std::uint64_t MaxBytes;
-  std::uint64_t ReservedBytes = 0;
+  struct account {
+    std::uint64_t MaxBytes;
+    std::uint64_t ReservedBytes = 0;
+  };
+
+  std::shared_ptr<account> Account; ///< reservations may outlive the budget
 };
 
 /// Bytes that are reserved in a budget until the end of this object. Not thread
@@ -32,39 +41,64 @@
 class body_reservation {
 public:
   body_reservation(body_reservation &&Other) noexcept
-      : Budget(std::exchange(Other.Budget, nullptr)), Bytes(Other.Bytes) {}
+      : Account(std::move(Other.Account)),
+        Bytes(std::exchange(Other.Bytes, 0)) {}
   body_reservation &operator=(body_reservation &&Other) noexcept {
-    std::swap(Budget, Other.Budget);
+    std::swap(Account, Other.Account);
     std::swap(Bytes, Other.Bytes);
     return *this;
   }
   ~body_reservation() {
-    if (Budget)
-      Budget->ReservedBytes -= Bytes;
+    if (Account)
+      Account->ReservedBytes -= Bytes;
+  }
+
+  /// Raises the reservation to this size; returns false, and changes nothing,
+  /// if there is not enough memory left.
+  bool growTo(std::uint64_t NewBytes) {
+    if (NewBytes <= Bytes)
+      return true;
+    if (!mayHold(Account->MaxBytes, Account->ReservedBytes, Bytes, NewBytes))
+      return false;
+    Account->ReservedBytes += NewBytes - std::exchange(Bytes, NewBytes);
+    return true;
   }
 
+  std::uint64_t bytes() const { return Bytes; }
+
 private:
   friend class body_budget;
-  body_reservation(body_budget &Owner, std::uint64_t Size)
-      : Budget(&Owner), Bytes(Size) {
-    Budget->ReservedBytes += Bytes;
-  }
+  explicit body_reservation(std::shared_ptr<body_budget::account> Owner)
+      : Account(std::move(Owner)) {}
 
-  body_budget *Budget;
-  std::uint64_t Bytes;
+  std::shared_ptr<body_budget::account> Account;
+  std::uint64_t Bytes = 0;
 };
 
 /// Limits the bodies of a process. Not thread safe.
 struct body_memory {
-  body_budget Requests; ///< while their calls are open
-  body_budget Answers;  ///< that wait to be sent to other nodes
+  body_budget Requests; ///< while anything holds them
+  body_budget Answers;  ///< from the backend server to the last byte sent
 };
 
 inline std::optional<body_reservation>
 body_budget::reserve(std::uint64_t Bytes) {
-  if (Bytes > MaxBytes - ReservedBytes)
+  body_reservation Reservation(Account);
+  if (!Reservation.growTo(Bytes))
     return std::nullopt;
-  return body_reservation(*this, Bytes);
+  return Reservation;
+}
+
+/// Returns a body that keeps its reservation as long as anything holds it.
+inline std::shared_ptr<const std::string>
+makeReservedBody(std::string Body, body_reservation Reservation) {
+  struct reserved_body {
+    std::string Body;
+    body_reservation Reservation;
+  };
+  auto Held = std::make_shared<reserved_body>(
+      reserved_body{std::move(Body), std::move(Reservation)});
+  return {Held, &Held->Body};
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/caller_listener.cpp
+++ b/src/chivebeam/mesh/caller_listener.cpp
@@ -2,35 +2,71 @@
 
 #include <algorithm>
 
-#include "net/accept_loop.h"
+#include "net/clock.h"
+#include "telemetry/log_event.h"
 
 namespace chivebeam {
 
 namespace {
 
-/// File descriptors that are reserved for uses other than callers' connections.
-constexpr unsigned ReservedDescriptors = 500;
+/// Interval at which connections are looked for that can be closed.
+constexpr milliseconds RoomInterval{50};
+constexpr milliseconds AcceptRetryDelay{20};
+/// Slow requests that are ended at once.
+constexpr std::size_t MaxEndedAtOnce = 32;
 
 } // namespace
 
 void caller_listener::start() {
-  asio::co_spawn(Context,
-                 acceptLoop(Acceptor,
-                            [this](tcp::socket Socket) {
-                              openSession(std::move(Socket));
-                            }),
-                 asio::detached);
+  asio::co_spawn(Context, acceptLoop(), asio::detached);
+}
+
+awaitable<void> caller_listener::acceptLoop() {
+  while (Acceptor.is_open()) {
+    // New connections wait in the queue of the kernel meanwhile.
+    if (Open.size() >= connection_limit::ofCallers(Settings.MaxDescriptors)) {
+      makeRoom(currentTime());
+      co_await sleepFor(RoomInterval);
+      continue;
+    }
+    error_code Code;
+    tcp::socket Socket = co_await Acceptor.async_accept(orError(Code));
+    if (Code == asio::error::operation_aborted)
+      co_return;
+    if (!Code) {
+      openSession(std::move(Socket));
+      continue;
+    }
+    log_event("accept_failed").add("error", Code.message());
+    co_await sleepFor(AcceptRetryDelay);
+  }
+}
+
+void caller_listener::makeRoom(instant Now) {
+  Sessions.Metrics.count("sessions_crowded");
+  closeIdle();
+  std::vector<caller_session *> Arriving;
+  std::vector<request_progress> Progress;
+  for (caller_session *Session : Open)
+    if (auto Request = Session->arrivingRequest(Now)) {
+      Arriving.push_back(Session);
+      Progress.push_back(*Request);
+    }
+  std::vector<std::size_t> Slowest =
+      crowd_control::slowest(Progress, MaxEndedAtOnce);
+  for (std::size_t Index : Slowest)
+    Arriving[Index]->endArriving();
+  if (Slowest.empty())
+    return;
+  Sessions.Metrics.count("slow_requests_ended");
+  log_event("slow_requests_ended")
+      .add("requests", Slowest.size())
+      .add("sessions", Open.size());
 }
 
 void caller_listener::openSession(tcp::socket Socket) {
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
-  // A new call has priority over an idle connection, so idle ones are closed to
-  // free descriptors.
-  if (Open.size() + ReservedDescriptors >= Settings.MaxDescriptors) {
-    Sessions.Metrics.count("sessions_crowded");
-    closeIdle();
-  }
   asio::co_spawn(Context, runSession(std::move(Socket)), asio::detached);
 }
 
--- a/src/chivebeam/mesh/caller_listener.h
+++ b/src/chivebeam/mesh/caller_listener.h
@@ -35,6 +35,9 @@
   std::size_t openSessions() const { return Open.size(); }
 
 private:
+  awaitable<void> acceptLoop();
+  /// Closes idle connections and ends slow requests.
+  void makeRoom(instant Now);
   void openSession(tcp::socket Socket);
   awaitable<void> runSession(tcp::socket Socket);
 
--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -22,9 +22,16 @@
 constexpr seconds AnswerWriteTimeout{15};
 /// A wait without an end is renewed after this time.
 constexpr seconds MaxWait{60};
+/// Memory that a header field takes beside its text while its call runs.
+constexpr std::uint64_t FieldBytes = 128;
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
 
+std::uint64_t memoryOf(const http::fields &Fields) {
+  return FieldBytes * static_cast<std::uint64_t>(
+                          std::distance(Fields.begin(), Fields.end()));
+}
+
 } // namespace
 
 caller_session::caller_session(session_context &SessionContext,
@@ -52,6 +59,19 @@
   Reader.interrupt();
 }
 
+std::optional<request_progress>
+caller_session::arrivingRequest(instant Now) const {
+  if (!ArrivingSince || !Answers.isEmpty())
+    return std::nullopt;
+  return request_progress{Reader.receivedBytes() - BytesBefore,
+                          Now - *ArrivingSince};
+}
+
+void caller_session::endArriving() {
+  Ended = true;
+  Reader.interrupt();
+}
+
 void caller_session::extendIdleTime() {
   if (!isBusy() && IdleSince + limits().IdleTimeout > IdleUntil)
     Reader.interrupt();
@@ -93,8 +113,10 @@
 }
 
 own_answer caller_session::answerTo(const error_code &Code) const {
-  if (Code == beast::error::timeout)
+  if (Code == beast::error::timeout || Ended)
     return own_answer::too_slow;
+  if (Code == asio::error::no_memory)
+    return own_answer::not_run;
   if (Code == http::error::header_limit)
     return own_answer::header_too_large;
   if (Code == http::error::body_limit)
@@ -127,8 +149,10 @@
   const caller_limits Limits = limits();
   Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
   Parser.body_limit(Limits.MaxBodyBytes);
+  ArrivingSince = currentTime();
   error_code Code =
-      co_await Reader.readHeader(Parser, currentTime() + Limits.HeaderTimeout);
+      co_await Reader.readHeader(Parser, *ArrivingSince + Limits.HeaderTimeout);
+  ArrivingSince.reset();
   if (!Code)
     co_return true;
   bool NoRequest =
@@ -137,7 +161,7 @@
       (Code.category() !=
            http::make_error_code(http::error::end_of_stream).category() &&
        Code != beast::error::timeout);
-  if (!NoRequest)
+  if (!NoRequest || Ended)
     co_await refuse(answerTo(Code), request_id(), false);
   else if (!Answers.isEmpty() && Code != asio::error::operation_aborted)
     leave();
@@ -145,13 +169,18 @@
 }
 
 awaitable<bool> caller_session::readBody(request_parser &Parser,
-                                         instant ArrivedAt) {
+                                         instant ArrivedAt,
+                                         body_reservation &Reserved) {
   error_code Code;
   if (expectsContinue(Parser.get().base()))
     co_await asio::async_write(Stream.socket(), asio::buffer(ContinueLine),
                                orError(Code));
+  ArrivingSince = ArrivedAt;
   if (!Code)
-    Code = co_await Reader.readBody(Parser, BodyProgressTimeout);
+    Code = co_await Reader.readBody(Parser, BodyProgressTimeout, Reserved);
+  ArrivingSince.reset();
+  if (Code == asio::error::no_memory)
+    Shared.Metrics.count("bodies_refused");
   if (!Code)
     co_return true;
   const auto &Header = Parser.get().base();
@@ -159,7 +188,8 @@
       .add("request", Shared.Protocol.readMetadata(Header).Id)
       .add("after_us", (currentTime() - ArrivedAt).count())
       .add("error", Code.message());
-  if (Code == http::error::body_limit || Code == beast::error::timeout)
+  if (Code == http::error::body_limit || Code == beast::error::timeout ||
+      Code == asio::error::no_memory || Ended)
     co_await refuse(answerTo(Code), Shared.Protocol.readMetadata(Header).Id,
                     false);
   else if (!Answers.isEmpty() && Code != asio::error::operation_aborted)
@@ -169,6 +199,7 @@
 
 awaitable<bool> caller_session::serveRequest() {
   request_parser Parser;
+  BytesBefore = Reader.receivedBytes();
   if (!co_await awaitTurn(true) || !co_await readHeader(Parser))
     co_return false;
   instant ArrivedAt = Reader.lastReadAt();
@@ -189,12 +220,12 @@
     co_return false;
   std::uint64_t ContentLength = Parser.content_length().value_or(0);
   std::optional<body_reservation> Reserved =
-      Shared.Bodies.reserve(ContentLength);
+      Shared.Bodies.reserve(ContentLength + memoryOf(Header.base()));
   if (!Reserved) {
     Shared.Metrics.count("bodies_refused");
     co_return co_await refuse(own_answer::not_run, Id, false);
   }
-  if (!co_await readBody(Parser, ArrivedAt) || !mayServe())
+  if (!co_await readBody(Parser, ArrivedAt, *Reserved) || !mayServe())
     co_return false;
   Keep = Header.keep_alive();
   startCall(Parser, ArrivedAt, Route.Idempotent, std::move(*Reserved));
@@ -222,7 +253,7 @@
 
 awaitable<void> caller_session::runCall(
     http::request<http::string_body> Request, instant ArrivedAt,
-    std::shared_ptr<pending_answer> Answer, body_reservation) {
+    std::shared_ptr<pending_answer> Answer, body_reservation Reserved) {
   caller_metadata Metadata = Shared.Protocol.readMetadata(Request.base());
   entry_request Entry;
   Entry.Id = Metadata.Id;
@@ -234,7 +265,7 @@
   Entry.ArrivedAt = ArrivedAt;
   Answer->Keep = Request.keep_alive();
   Answer->HeadOnly = Request.method() == http::verb::head;
-  Entry.Body = std::make_shared<const std::string>(std::move(Request.body()));
+  Entry.Body = makeReservedBody(std::move(Request.body()), std::move(Reserved));
   entry_result Result =
       co_await Shared.Router.run(std::move(Entry), Answer->Cancel);
   if (Result.Kind == entry_result::kind::caller_gone) {
--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "data/disconnect_watcher.h"
+#include "limits/crowd_control.h"
 #include "mesh/answer_queue.h"
 #include "mesh/body_budget.h"
 #include "mesh/entry_router.h"
@@ -33,6 +34,11 @@
   /// Closes the connection if it is waiting for a request and no byte of it has
   /// arrived.
   void closeIfIdle();
+  /// Returns the progress of the request that is arriving; empty if none is, or
+  /// if other requests of the connection are not answered yet.
+  std::optional<request_progress> arrivingRequest(instant Now) const;
+  /// Refuses the request that is arriving, to free the connection.
+  void endArriving();
   /// Applies the idle timeout of a new configuration to a connection that is
   /// waiting for a request. A wait is extended but never shortened, because the
   /// caller may not know of the change yet.
@@ -49,7 +55,8 @@
   /// within the idle timeout.
   awaitable<bool> awaitRequest();
   awaitable<bool> readHeader(request_parser &Parser);
-  awaitable<bool> readBody(request_parser &Parser, instant ArrivedAt);
+  awaitable<bool> readBody(request_parser &Parser, instant ArrivedAt,
+                           body_reservation &Reserved);
   /// Waits until the queue of answers may take a request of this kind; returns
   /// false if no further request may start.
   awaitable<bool> awaitTurn(bool Idempotent);
@@ -87,6 +94,9 @@
   bool Closing = false; ///< the last answer was written
   bool Gone = false;    ///< no answer can be delivered any more
   bool CloseRequested = false;
+  bool Ended = false;                   ///< the request that arrives is refused
+  std::optional<instant> ArrivingSince; ///< while a request is read
+  std::uint64_t BytesBefore = 0;        ///< received before that request
   instant IdleUntil; ///< end of the wait for a request, while not busy
   instant IdleSince;
 };
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -18,10 +18,10 @@
 home_runner::home_runner(asio::io_context &IoContext,
                          const call_protocol &CallProtocol,
                          suspect_listener &SuspectListener,
-                         double LinkBytesPerSecond)
+                         body_budget &Answers, double LinkBytesPerSecond)
     : Context(IoContext), Protocol(CallProtocol), Suspects(SuspectListener),
       StartTimer(IoContext), Bodies(LinkBytesPerSecond),
-      Connections([this](const worker_start &Start) {
+      Connections(Answers, [this](const worker_start &Start) {
         serverEnded(Start, currentTime());
       }) {}
 
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -29,9 +29,10 @@
   /// otherwise the answer to the call, which was not run.
   using body_decision = std::function<void(std::optional<mesh_answer>)>;
 
-  /// \pre Context, Protocol and Suspects outlive the runner.
+  /// \pre Context, Protocol, Suspects and Answers outlive the runner.
   home_runner(asio::io_context &Context, const call_protocol &Protocol,
-              suspect_listener &Suspects, double LinkBytesPerSecond);
+              suspect_listener &Suspects, body_budget &Answers,
+              double LinkBytesPerSecond);
 
   /// Sets the handler that is called when a start of the backend server says in
   /// an answer that it leaves.
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -31,10 +31,13 @@
 /// A suspension of the machine is handled if it lasted at least this long. The
 /// steady clock does not count this time.
 constexpr milliseconds MinSuspension{300};
-/// Request bodies, and answers that wait to be sent to other nodes, may each
-/// use the memory of the process divided by this number.
-constexpr std::uint64_t BodyMemoryDivisor = 4;
+/// Parts of the memory of the process, in sixteenths.
+constexpr std::uint64_t MemoryParts = 16;
+constexpr std::uint64_t RequestBodyParts = 7;
+constexpr std::uint64_t AnswerBodyParts = 3;
 constexpr std::size_t MaxControlBody = 4 << 10;
+/// Of each address that serves readiness or metrics.
+constexpr std::size_t MaxControlConnections = 64;
 
 http_response textResponse(http::status Status, std::string Text) {
   http_response Response(Status, 11);
@@ -50,10 +53,11 @@
     : Settings(std::move(NodeSettings)),
       Dependencies(std::move(NodeDependencies)), Context(IoContext),
       Signals(Context, SIGTERM, SIGINT, SIGHUP),
-      Bodies{body_budget(Settings.MemoryBytes / BodyMemoryDivisor),
-             body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
+      Bodies{body_budget(Settings.MemoryBytes / MemoryParts * RequestBodyParts),
+             body_budget(Settings.MemoryBytes / MemoryParts * AnswerBodyParts)},
       State(Settings, *Dependencies.DocumentFormat),
-      Home(Context, *Dependencies.Calls, State, Settings.LinkBytesPerSecond),
+      Home(Context, *Dependencies.Calls, State, Bodies.Answers,
+           Settings.LinkBytesPerSecond),
       Hub(Context, State),
       Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Metrics),
       OperatorStore(Dependencies.OpenStore(Settings.Store)),
@@ -89,19 +93,23 @@
               session_context{Router, *Dependencies.Calls, State, Metrics,
                               Bodies.Requests}),
       PeerAcceptor(Context),
-      Readiness(Context, MaxControlBody,
-                [this](const http_request &,
-                       const address &) -> awaitable<http_response> {
-                  co_return textResponse(
-                      isReady() ? http::status::ok
-                                : http::status::service_unavailable,
-                      "");
-                }),
-      MetricsService(Context, MaxControlBody,
-                     [this](const http_request &,
-                            const address &) -> awaitable<http_response> {
-                       co_return textResponse(http::status::ok, metricsText());
-                     }) {
+      Readiness(
+          Context, MaxControlBody,
+          [this](const http_request &,
+                 const address &) -> awaitable<http_response> {
+            co_return textResponse(isReady()
+                                       ? http::status::ok
+                                       : http::status::service_unavailable,
+                                   "");
+          },
+          MaxControlConnections),
+      MetricsService(
+          Context, MaxControlBody,
+          [this](const http_request &,
+                 const address &) -> awaitable<http_response> {
+            co_return textResponse(http::status::ok, metricsText());
+          },
+          MaxControlConnections) {
   for (config_store *Store :
        {OperatorStore.get(), MeshStore.get(), RequestStore.get()})
     Store->setEraHandler([this](store_era Era) { State.noteEra(Era); });
--- a/src/chivebeam/mesh/peer_session.cpp
+++ b/src/chivebeam/mesh/peer_session.cpp
@@ -146,10 +146,6 @@
 }
 
 void peer_session::answerInParts(std::uint64_t Number, mesh_answer Answer) {
-  std::optional<body_reservation> Reserved =
-      Memory.Answers.reserve(Answer.Body->size());
-  if (!Reserved)
-    Answer = answerWithoutMemory();
   shared_body Body = std::exchange(Answer.Body, nullptr);
   peer_frame Reply = Protocol.frame(frame_kind::answer);
   Reply.Call = Number;
@@ -158,10 +154,7 @@
   Channel->send(Reply);
   if (!Body)
     return;
-  // The queue drops the handler, and the reservation with it, when no part is
-  // left to be sent.
-  auto Held = std::make_shared<body_reservation>(std::move(*Reserved));
-  Channel->sendBody(Number, std::move(Body), [Held] {});
+  Channel->sendBody(Number, std::move(Body), [] {});
 }
 
 void peer_session::runCall(call_origin Origin, mesh_call Call,
--- a/src/chivebeam/mesh/request_reader.cpp
+++ b/src/chivebeam/mesh/request_reader.cpp
@@ -48,6 +48,7 @@
     error_code Code;
     std::size_t Got = Socket.read_some(Buffer.prepare(Size), Code);
     Buffer.commit(Got);
+    ReceivedBytes += Got;
     if (Code != asio::error::would_block && Code != asio::error::try_again) {
       LastReadAt = currentTime();
       co_return Code;
@@ -83,8 +84,11 @@
 }
 
 awaitable<error_code> request_reader::readBody(parser &Parser,
-                                               microseconds ProgressTime) {
+                                               microseconds ProgressTime,
+                                               body_reservation &Held) {
   Parser.eager(true);
+  const bool IsSized = Parser.content_length().has_value();
+  const std::uint64_t HeldBefore = Held.bytes();
   error_code Code = parseBuffered(Parser);
   while (!Code && !Parser.is_done()) {
     Code = co_await readSome(BodyReadBytes, currentTime() + ProgressTime);
@@ -92,6 +96,8 @@
       co_return error_code(http::error::partial_message);
     if (!Code)
       Code = parseBuffered(Parser);
+    if (!IsSized && !Held.growTo(HeldBefore + Parser.get().body().size()))
+      co_return error_code(asio::error::no_memory);
   }
   co_return Code;
 }
--- a/src/chivebeam/mesh/request_reader.h
+++ b/src/chivebeam/mesh/request_reader.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "base/units.h"
+#include "mesh/body_budget.h"
 #include "net/asio_types.h"
 
 namespace chivebeam {
@@ -22,14 +23,19 @@
   awaitable<error_code> awaitBytes(instant End);
   /// Reads a header. Returns the errors of awaitBytes and of the parser.
   awaitable<error_code> readHeader(parser &Parser, instant End);
-  /// Reads a body; each part of it must arrive within ProgressTime.
-  awaitable<error_code> readBody(parser &Parser, microseconds ProgressTime);
+  /// Reads a body; each part of it must arrive within ProgressTime. If its
+  /// length is not known, Held grows with what arrives; returns no_memory if it
+  /// can't.
+  awaitable<error_code> readBody(parser &Parser, microseconds ProgressTime,
+                                 body_reservation &Held);
   /// Ends the read that waits for bytes, if there is one.
   void interrupt();
   /// True if bytes of the next request are here.
   bool hasBytes() const { return Buffer.size() > 0; }
   /// Returns when the last bytes were read.
   instant lastReadAt() const { return LastReadAt; }
+  /// Returns the number of bytes that were read from the connection.
+  std::uint64_t receivedBytes() const { return ReceivedBytes; }
 
 private:
   struct state;
@@ -42,6 +48,7 @@
   std::shared_ptr<state> State;
   beast::flat_buffer Buffer;
   instant LastReadAt;
+  std::uint64_t ReceivedBytes = 0;
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 /// Bodies up to this size fit the socket's buffer and are written together with
 /// the header.
-constexpr std::size_t SmallBodyBytes = 16 << 10;
+constexpr std::size_t OneWriteBytes = 16 << 10;
 
 std::string writeHead(const mesh_call &Call, const header_list &Fields) {
   std::string Head;
@@ -43,6 +43,8 @@
 answer_end endOf(const error_code &Code) {
   bool IsHttpError = Code.category() ==
                      http::make_error_code(http::error::bad_value).category();
+  if (Code == asio::error::no_memory)
+    return answer_end::invalid;
   bool IsClosed = !IsHttpError || Code == http::error::end_of_stream ||
                   Code == http::error::partial_message;
   return IsClosed ? answer_end::closed : answer_end::invalid;
@@ -50,8 +52,10 @@
 
 } // namespace
 
-worker_connection::worker_connection(tcp::socket WorkerSocket)
-    : Socket(std::move(WorkerSocket)), Buffer(MaxUnparsedBytes) {}
+worker_connection::worker_connection(tcp::socket WorkerSocket,
+                                     body_budget &AnswerBudget)
+    : Socket(std::move(WorkerSocket)), Answers(AnswerBudget),
+      Buffer(MaxUnparsedBytes) {}
 
 bool worker_connection::isIdle() {
   char Byte = 0;
@@ -108,6 +112,17 @@
   KeepAlive = seconds(Seconds);
 }
 
+awaitable<error_code> worker_connection::read(answer_parser &Parser,
+                                              body_reservation &Held) {
+  error_code Code;
+  while (!Code && !Parser.is_done()) {
+    co_await http::async_read_some(Socket, Buffer, Parser, orError(Code));
+    if (!Held.growTo(Parser.get().body().size()))
+      co_return error_code(asio::error::no_memory);
+  }
+  co_return Code;
+}
+
 awaitable<mesh_answer>
 worker_connection::readAnswer(const mesh_call &Call,
                               const call_protocol &Protocol) {
@@ -118,8 +133,8 @@
     Parser.body_limit(MaxAnswerBytes);
     Parser.header_limit(MaxAnswerHeaderBytes);
     Parser.skip(Call.Method == "HEAD");
-    error_code Code;
-    co_await http::async_read(Socket, Buffer, Parser, orError(Code));
+    body_reservation Held = *Answers.reserve(0);
+    error_code Code = co_await read(Parser, Held);
     if (Code) {
       AnswerEnd = endOf(Code);
       co_return lostAnswer(Code);
@@ -143,8 +158,7 @@
         Parser.need_eof() ? answer_end::until_close : answer_end::complete;
     if (!Response.keep_alive() || Response.need_eof())
       Reusable = false;
-    Answer.Body =
-        std::make_shared<const std::string>(std::move(Response.body()));
+    Answer.Body = makeReservedBody(std::move(Response.body()), std::move(Held));
     Answer.Outcome = Protocol.outcomeOf(Answer.Status, Answer.Fields);
     Answer.Notice = Protocol.noticeIn(Answer.Fields);
     if (Answer.Outcome == attempt_outcome::server_refused)
@@ -182,7 +196,7 @@
   auto Head = std::make_shared<const std::string>(writeHead(Call, Fields));
   // A backend server may answer before it has read a long body, so the answer
   // is read while the body is still being sent.
-  if (!Call.Body || Call.Body->size() <= SmallBodyBytes)
+  if (!Call.Body || Call.Body->size() <= OneWriteBytes)
     co_await send(Head, Call.Body);
   else
     asio::co_spawn(Executor, send(Head, Call.Body), asio::detached);
@@ -194,7 +208,8 @@
 }
 
 awaitable<worker_connect_result> connectToWorker(const address &Worker,
-                                                 milliseconds Timeout) {
+                                                 milliseconds Timeout,
+                                                 body_budget &Answers) {
   auto Executor = co_await asio::this_coro::executor;
   auto Socket = std::make_shared<tcp::socket>(Executor);
   asio::steady_timer Timer(Executor, Timeout);
@@ -210,7 +225,7 @@
                                     Code == asio::error::connection_refused};
   Socket->set_option(tcp::no_delay(true), Code);
   co_return worker_connect_result{
-      std::make_shared<worker_connection>(std::move(*Socket)), false};
+      std::make_shared<worker_connection>(std::move(*Socket), Answers), false};
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/worker_connection.h
+++ b/src/chivebeam/mesh/worker_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/body_budget.h"
 #include "mesh/call_protocol.h"
 #include "mesh/cancel_signal.h"
 #include "routing/exchange_outcome.h"
@@ -11,7 +12,8 @@
 class worker_connection
     : public std::enable_shared_from_this<worker_connection> {
 public:
-  explicit worker_connection(tcp::socket Socket);
+  /// \pre Answers outlives the connection.
+  worker_connection(tcp::socket Socket, body_budget &Answers);
 
   /// Sends the request and reads the complete answer. Gives up at Until, or at
   /// once when Cancel is raised. The call may have run unless the outcome says
@@ -42,6 +44,9 @@
 private:
   using answer_parser = http::response_parser<http::string_body>;
 
+  /// Reads a complete answer. Fails with no_memory if there is no room for its
+  /// body.
+  awaitable<error_code> read(answer_parser &Parser, body_reservation &Held);
   awaitable<void> send(shared_body Head, shared_body Body);
   awaitable<mesh_answer> readAnswer(const mesh_call &Call,
                                     const call_protocol &Protocol);
@@ -52,6 +57,7 @@
   void finishExchange(const mesh_answer &Answer, bool IsCancelled);
 
   tcp::socket Socket;
+  body_budget &Answers;
   beast::flat_buffer Buffer;
   bool Reusable = true;
   std::vector<request_id> Refused; ///< calls that were refused on it
@@ -68,8 +74,9 @@
   bool Refused = false; ///< no process accepts connections at the address
 };
 
-/// Connects to the backend server.
+/// Connects to the backend server. \pre Answers outlives the connection.
 awaitable<worker_connect_result> connectToWorker(const address &Worker,
-                                                 milliseconds Timeout);
+                                                 milliseconds Timeout,
+                                                 body_budget &Answers);
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/worker_connection_pool.cpp
+++ b/src/chivebeam/mesh/worker_connection_pool.cpp
@@ -71,7 +71,7 @@
   address Target = At;
   worker_start Start = *Server;
   worker_connect_result Result =
-      co_await connectToWorker(Target, ConnectTimeout);
+      co_await connectToWorker(Target, ConnectTimeout, Answers);
   if (Server != Start)
     co_return Result.Connection;
   Refused = Result.Refused;
--- a/src/chivebeam/mesh/worker_connection_pool.h
+++ b/src/chivebeam/mesh/worker_connection_pool.h
@@ -15,8 +15,9 @@
   /// Called when a start of the backend server is found to be gone.
   using gone_handler = std::function<void(const worker_start &)>;
 
-  explicit worker_connection_pool(gone_handler OnGone)
-      : OnGone(std::move(OnGone)) {}
+  /// \pre Answers outlives the pool and its connections.
+  worker_connection_pool(body_budget &Answers, gone_handler OnGone)
+      : Answers(Answers), OnGone(std::move(OnGone)) {}
 
   /// Sets the backend server; connections to another one are dropped.
   void setServer(const worker_start &Start, const address &At);
@@ -42,6 +43,7 @@
 private:
   std::shared_ptr<worker_connection> takeIdle(const mesh_call &Call);
 
+  body_budget &Answers;
   gone_handler OnGone;
   std::optional<worker_start> Server;
   address At;
--- a/src/chivebeam/mesh/worker_report_handler.cpp
+++ b/src/chivebeam/mesh/worker_report_handler.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t MaxReportBytes = 64 << 10;
+constexpr std::size_t MaxReportConnections = 64;
 /// The backend server waits one second for the answer to a report.
 constexpr milliseconds MaxReportDelay{700};
 constexpr milliseconds LoadedCheckInterval{10};
@@ -24,9 +25,11 @@
     : Context(IoContext), Settings(MeshSettings), Protocol(WorkerProtocol),
       Home(HomeRunner), State(MeshState), Notes(Store, Settings),
       Reports(Settings.ReportInterval),
-      Service(Context, MaxReportBytes,
-              [this](const http_request &Request, const address &)
-                  -> awaitable<http_response> { return handle(Request); }) {
+      Service(
+          Context, MaxReportBytes,
+          [this](const http_request &Request, const address &)
+              -> awaitable<http_response> { return handle(Request); },
+          MaxReportConnections) {
   Home.onServerLeaving(
       [this](const worker_start &Start) { serverLeaves(Start); });
   State.onOwnCopy([this](const home_record &Copy) { restore(Copy); });
--- a/src/chivebeam/net/http_service.cpp
+++ b/src/chivebeam/net/http_service.cpp
@@ -1,5 +1,7 @@
 #include "net/http_service.h"
 
+#include <algorithm>
+
 namespace chivebeam {
 
 namespace {
@@ -39,9 +41,9 @@
 }
 
 http_service::http_service(asio::io_context &Context, std::size_t MaxBodyBytes,
-                           handler Handler)
+                           handler Handler, std::size_t MaxConnections)
     : Context(Context), Acceptor(Context), MaxBodyBytes(MaxBodyBytes),
-      Handler(std::move(Handler)) {}
+      Handler(std::move(Handler)), MaxConnections(MaxConnections) {}
 
 result<address> http_service::listen(const address &ListenAddress) {
   result<address> Bound = openAcceptor(Acceptor, ListenAddress);
@@ -61,18 +63,34 @@
     tcp::socket Socket = co_await Acceptor.async_accept(orError(Code));
     if (Code == asio::error::operation_aborted)
       co_return;
-    if (Code)
+    if (Code) {
       co_await sleepFor(AcceptRetryDelay);
-    else
-      asio::co_spawn(Context, serve(std::move(Socket)), asio::detached);
+      continue;
+    }
+    if (Open.size() >= MaxConnections)
+      makeRoom();
+    auto Connection = std::make_shared<connection>(
+        connection{beast::tcp_stream(std::move(Socket))});
+    Open.push_back(Connection);
+    asio::co_spawn(Context, serve(std::move(Connection)), asio::detached);
   }
 }
 
-awaitable<void> http_service::serve(tcp::socket Socket) {
+void http_service::makeRoom() {
+  auto Oldest =
+      std::find_if(Open.begin(), Open.end(),
+                   [](const auto &Candidate) { return !Candidate->Running; });
+  if (Oldest == Open.end())
+    return;
+  (*Oldest)->Stream.close();
+  Open.erase(Oldest);
+}
+
+awaitable<void> http_service::serve(std::shared_ptr<connection> Connection) {
+  beast::tcp_stream &Stream = Connection->Stream;
   error_code Code;
-  tcp::endpoint Remote = Socket.remote_endpoint(Code);
-  Socket.set_option(tcp::no_delay(true), Code);
-  beast::tcp_stream Stream(std::move(Socket));
+  tcp::endpoint Remote = Stream.socket().remote_endpoint(Code);
+  Stream.socket().set_option(tcp::no_delay(true), Code);
   beast::flat_buffer Buffer;
   bool KeepOpen = !Code;
   while (KeepOpen) {
@@ -82,7 +100,9 @@
     co_await http::async_read(Stream, Buffer, Parser, orError(Code));
     if (Code)
       break;
+    Connection->Running = true;
     http_response Response = co_await Handler(Parser.get(), toAddress(Remote));
+    Connection->Running = false;
     KeepOpen = Parser.get().keep_alive() && Acceptor.is_open();
     Response.keep_alive(KeepOpen);
     Response.prepare_payload();
@@ -90,6 +110,7 @@
     KeepOpen = KeepOpen && !Code;
   }
   Stream.socket().shutdown(tcp::socket::shutdown_both, Code);
+  Open.remove(Connection);
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/net/http_service.h
+++ b/src/chivebeam/net/http_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 
 #include "net/http_client.h"
 
@@ -15,9 +16,12 @@
   using handler = std::function<awaitable<http_response>(
       const http_request &Request, const address &Caller)>;
 
+  static constexpr std::size_t Unlimited = ~std::size_t{0};
+
+  /// Connections beyond MaxConnections end the oldest one that runs no request.
   /// \pre Context outlives the service.
   http_service(asio::io_context &Context, std::size_t MaxBodyBytes,
-               handler Handler);
+               handler Handler, std::size_t MaxConnections = Unlimited);
 
   /// Binds and starts accepting connections. Returns the bound address; with
   /// port 0 the kernel chooses the port.
@@ -25,13 +29,21 @@
   void close();
 
 private:
+  struct connection {
+    beast::tcp_stream Stream;
+    bool Running = false; ///< the handler runs a request
+  };
+
   awaitable<void> acceptLoop();
-  awaitable<void> serve(tcp::socket Socket);
+  void makeRoom();
+  awaitable<void> serve(std::shared_ptr<connection> Connection);
 
   asio::io_context &Context;
   tcp::acceptor Acceptor;
   std::size_t MaxBodyBytes;
   handler Handler;
+  std::size_t MaxConnections;
+  std::list<std::shared_ptr<connection>> Open; ///< the oldest is first
 };
 
 /// Opens, binds and starts listening. The error names the address and a remedy.
--- /dev/null
+++ b/tests/limits/limits_test.cpp
@@ -0,0 +1,44 @@
+// Decisions about clients that hold memory or connections.
+#include <boost/test/unit_test.hpp>
+
+#include "limits/body_share.h"
+#include "limits/crowd_control.h"
+
+using namespace chivebeam;
+
+// Load: a crowd of large bodies that never end.
+BOOST_AUTO_TEST_CASE(large_bodies_leave_memory_to_small_ones) {
+  constexpr std::uint64_t Max = 64 << 20;
+  constexpr std::uint64_t LargeLimit = Max - Max / SmallBodyPart;
+  BOOST_TEST(mayHold(Max, 0, 0, LargeLimit));
+  BOOST_TEST(!mayHold(Max, 0, 0, LargeLimit + 1));
+  BOOST_TEST(!mayHold(Max, LargeLimit, 0, SmallBodyBytes + 1));
+  BOOST_TEST(mayHold(Max, LargeLimit, 0, SmallBodyBytes));
+  BOOST_TEST(!mayHold(Max, Max, 0, 1));
+}
+
+// Load: a body in chunks that grows while others wait.
+BOOST_AUTO_TEST_CASE(a_growing_body_counts_once) {
+  BOOST_TEST(mayHold(16 << 20, 10 << 20, 10 << 20, 15 << 20));
+  BOOST_TEST(!mayHold(16 << 20, 12 << 20, 10 << 20, 14 << 20));
+}
+
+// Load: a crowd that sends a byte at a time, beside an upload on a slow link
+// and a request that has just begun.
+BOOST_AUTO_TEST_CASE(the_request_that_moves_least_is_ended_first) {
+  std::vector<request_progress> Requests{{2'000, seconds(1)},
+                                         {10, seconds(1)},
+                                         {1, milliseconds(100)},
+                                         {10, seconds(2)},
+                                         {300, seconds(1)}};
+  BOOST_TEST(crowd_control::slowest(Requests, 9) ==
+                 (std::vector<std::size_t>{3, 1, 4}),
+             boost::test_tools::per_element());
+  BOOST_TEST(crowd_control::slowest(Requests, 1).size() == 1u);
+}
+
+// Load: more clients than descriptors, on a large and on a small machine.
+BOOST_AUTO_TEST_CASE(connections_fit_the_descriptors) {
+  BOOST_TEST(connection_limit::ofCallers(4'100) == 3'600u);
+  BOOST_TEST(connection_limit::ofCallers(600) == 150u);
+}
