--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -21,6 +21,8 @@
 /// Bytes that wait to be parsed: a header, or the line before a chunk, which
 /// may have extensions of any length.
 constexpr std::size_t MaxUnparsedBytes = 128 << 10;
+/// A read buffer that has grown beyond this size is freed after the call.
+constexpr std::size_t MaxKeptBytes = 16 << 10;
 /// Bodies up to this size fit the socket's buffer and are written together with
 /// the header.
 constexpr std::size_t OneWriteBytes = 16 << 10;
@@ -176,6 +178,8 @@
   End = classifyExchange({AnswerEnd, TimedOut || IsCancelled});
   if (Answer.Status == 0 || !SendDone || Buffer.size() > 0 || TimedOut)
     close();
+  if (Buffer.capacity() > MaxKeptBytes)
+    Buffer.shrink_to_fit();
   IdleSince = currentTime();
 }
 
