--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -48,13 +48,15 @@
                            const mesh_settings &MeshSettings,
                            const call_protocol &CallProtocol,
                            mesh_state &MeshState, home_runner &HomeRunner,
-                           peer_hub &PeerHub, mesh_metrics &MeshMetrics)
+                           peer_hub &PeerHub, usage_limiter &UsageLimiter,
+                           mesh_metrics &MeshMetrics)
     : Context(IoContext), Settings(MeshSettings), Protocol(CallProtocol),
-      State(MeshState), Home(HomeRunner), Hub(PeerHub), Metrics(MeshMetrics),
-      Random(seedOf(Settings.Node)),
+      State(MeshState), Home(HomeRunner), Hub(PeerHub), Usage(UsageLimiter),
+      Metrics(MeshMetrics), Random(seedOf(Settings.Node)),
       Preparer(Settings, Protocol, seedOf(Settings.Node)),
       Picker(Settings.Domain, seedOf(Settings.Node)),
-      RetryBudget(Settings.RetryBudget), Retries(State, Picker, RetryBudget),
+      RetryBudget(Settings.RetryBudget), Hedges(Settings.Hedging),
+      Retries(State, Picker, RetryBudget),
       Downstream(State, Picker, RetryBudget) {}
 
 void entry_router::viewChanged() {
@@ -67,39 +69,56 @@
 
 route_check entry_router::checkRoute(const std::string &Host,
                                      const std::string &Target,
-                                     const std::string &Method) const {
+                                     const std::string &Method,
+                                     const api_key &Key) const {
   if (!State.view())
     return {own_answer::not_ready};
-  const route_rule *Route =
-      State.view()->Config->match(Host, pathOf(Target), Method);
-  if (Route)
+  const snapshot &Config = *State.view()->Config;
+  const route_rule *Route = Config.match(Host, pathOf(Target), Method);
+  if (Route && checkKey(Config, *Route, Key))
     return {std::nullopt, Route->Idempotent};
-  // The route may be in a configuration that has not arrived yet.
-  return {ConfigMayBeStale() ? own_answer::not_ready : own_answer::no_route};
+  // The route or key may be in a configuration that has not arrived yet.
+  if (ConfigMayBeStale())
+    return {own_answer::not_ready};
+  return {Route ? own_answer::unauthorized : own_answer::no_route};
+}
+
+entry_result entry_router::ownResult(own_answer Answer) {
+  return {entry_result::kind::own, {}, Answer, addJitter(NoServerRetryAfter)};
+}
+
+bool entry_router::isKeyRevoked(const entry_call &Entry) const {
+  return !isKeyOf(*State.view()->Config, Entry.Key, Entry.Call.Workspace);
 }
 
 awaitable<entry_result> entry_router::run(entry_request Request,
                                           cancel_signal Cancel) {
   entry_call Entry;
   Entry.View = State.view();
-  if (Closed && !Protocol.parentOf(Request.Id))
-    co_return entry_result{entry_result::kind::own,
-                           {},
-                           own_answer::not_run,
-                           addJitter(NoServerRetryAfter)};
-  if (!Entry.View)
-    co_return entry_result{entry_result::kind::own,
-                           {},
-                           own_answer::not_ready,
-                           addJitter(NoServerRetryAfter)};
+  // The configuration may have changed while the body was read.
+  route_check Check =
+      checkRoute(Request.Host, Request.Target, Request.Method, Request.Key);
+  if (Check.Problem)
+    co_return ownResult(*Check.Problem);
   const route_rule *Route = Entry.View->Config->match(
       Request.Host, pathOf(Request.Target), Request.Method);
-  if (!Route)
+  call_permission Permission =
+      *checkKey(*Entry.View->Config, *Route, Request.Key);
+  std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
+  Preparer.prepare(Entry, *Route, Permission, std::move(Request));
+  // A call that could outlast this process is left to another node.
+  if (LastAnswerAt && (!Parent || Entry.Call.Deadline > *LastAnswerAt))
+    co_return ownResult(own_answer::not_run);
+  OpenCalls.insert(&Entry);
+  std::optional<microseconds> OverCapFor =
+      co_await Usage.admit(Entry.Call.Workspace);
+  OpenCalls.erase(&Entry);
+  if (Cancel.raised())
+    co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
+  if (OverCapFor)
     co_return entry_result{
-        entry_result::kind::own, {}, own_answer::no_route, {}};
+        entry_result::kind::own, {}, own_answer::over_cap, *OverCapFor};
   instant Now = currentTime();
-  std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
-  Preparer.prepare(Entry, *Route, std::move(Request));
   Entry.Call.IsRetry = Parent && Home.isRunningRetry(*Parent);
   if (Entry.Call.IsRetry)
     RetryBudget.recordRetry(Entry.Call.Service, Now);
@@ -107,6 +126,8 @@
     RetryBudget.callStarted(Entry.Call.Service, Now);
   if (!admit(Entry, Now))
     co_return refuseAtEntry(Entry, "a downstream service is overloaded");
+  if (isHedgeable(Entry))
+    Hedges.callStarted();
   OpenCalls.insert(&Entry);
   Entry.Silent = std::make_shared<silent_attempts>(Context.get_executor());
   entry_result Result = co_await runAttempts(Entry, Cancel);
@@ -115,11 +136,21 @@
   co_return Result;
 }
 
-void entry_router::endOpenCalls() {
-  Ending = true;
-  for (entry_call *Entry : OpenCalls)
+std::size_t entry_router::endOpenCalls(instant LastAnswer) {
+  EndsAfter = LastAnswer;
+  std::size_t Ended = 0;
+  for (entry_call *Entry : OpenCalls) {
+    if (!isEnding(*Entry))
+      continue;
+    ++Ended;
     if (Entry->Abandon)
       Entry->Abandon();
+  }
+  return Ended;
+}
+
+bool entry_router::isEnding(const entry_call &Entry) const {
+  return EndsAfter && Entry.Call.Deadline > *EndsAfter;
 }
 
 bool entry_router::isQuarantined(entry_call &Entry, instant Now) {
@@ -201,8 +232,10 @@
                                                   cancel_signal Cancel) {
   for (;;) {
     instant Started = currentTime();
-    if (Ending)
+    if (isEnding(Entry))
       co_return endAtEntry(Entry, "this node is about to end");
+    if (Entry.Attempts > 0 && isKeyRevoked(Entry))
+      co_return endAtEntry(Entry, "the API key of the caller was removed");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
     const endpoint *Chosen = choose(Entry, Started);
@@ -224,6 +257,12 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
+    if (Answer.Superseded) {
+      std::optional<entry_result> First =
+          co_await waitForSilentNodes(Entry, Cancel);
+      if (First)
+        co_return std::move(*First);
+    }
     recordServerEnd(Entry, Endpoint, Answer, Now);
     recordNotice(Endpoint, Answer);
     Retries.recordAttempt(Entry, Answer, Now);
@@ -253,7 +292,7 @@
 awaitable<std::optional<entry_result>>
 entry_router::waitForSilentNodes(entry_call &Entry, cancel_signal Cancel) {
   std::shared_ptr<silent_attempts> Silent = Entry.Silent;
-  bool MayBeAnswered = Silent->Open > 0 && !Ending;
+  bool MayBeAnswered = Silent->Open > 0 && !isEnding(Entry);
   if (!MayBeAnswered && !Silent->FirstAnswer.isSet())
     co_return std::nullopt;
   instant Started = currentTime();
@@ -277,6 +316,7 @@
   if (!Answer || !isServerAnswer(*Answer))
     co_return std::nullopt;
   recordNotice(Silent->AnsweredBy, *Answer);
+  recordLatency(Entry, currentTime());
   log(Entry, Silent->AnsweredBy, *Answer, next_step::deliver,
       currentTime() - Started);
   co_return finish(Entry, next_step::deliver, std::move(*Answer));
@@ -321,11 +361,25 @@
     Home.run(std::move(Call), Attempt, Reply);
   else
     Hub.call(Endpoint.Node, std::move(Call), Attempt, Reply);
+  std::shared_ptr<silent_attempts> Silent = Entry.Silent;
+  if (Hedges.isEnabled())
+    Silent->OnAnswered = [PendingAnswer] {
+      mesh_answer Late = emptyAnswer(attempt_outcome::lost,
+                                     "another attempt was answered first");
+      Late.Superseded = true;
+      PendingAnswer.set(std::move(Late));
+    };
   std::optional<mesh_answer> Answer =
-      co_await PendingAnswer.wait(Entry.Call.Deadline - Now);
+      co_await awaitAnswer(Entry, PendingAnswer, Now);
+  Silent->OnAnswered = nullptr;
+  if (Answer && Answer->Superseded)
+    Attempt.raise();
   instant AnsweredAt = currentTime();
   bool IsSilent = Answer && Answer->Silent && !LateAnswer.isSet();
-  if (IsSilent && Retries.mayMoveOn(Entry, AnsweredAt)) {
+  if (Answer && Answer->Hedged) {
+    *MovedOn = true;
+    Entry.Silent->add(Attempt);
+  } else if (IsSilent && Retries.mayMoveOn(Entry, AnsweredAt)) {
     // The home node may still run the call, so the attempt goes on until there
     // is another answer.
     *MovedOn = true;
@@ -344,12 +398,53 @@
                         "the deadline of the call has passed");
 }
 
+bool entry_router::isHedgeable(const entry_call &Entry) const {
+  // Hedging at one layer of a call tree only: copies of nested calls would
+  // multiply with those of their parents.
+  return Hedges.isEnabled() && Entry.Call.Idempotent && !Entry.Call.Nested;
+}
+
+bool entry_router::takeHedge(entry_call &Entry, instant Now) {
+  if (isEnding(Entry) || LastAnswerAt || !Retries.mayMoveOn(Entry, Now))
+    return false;
+  const endpoint *Target = choose(Entry, Now);
+  return Target && Hedges.takeHedge(Picker.recentLoad(*Target, Now));
+}
+
+awaitable<std::optional<mesh_answer>>
+entry_router::awaitAnswer(entry_call &Entry, one_shot<mesh_answer> Pending,
+                          instant Now) {
+  std::optional<microseconds> Delay;
+  if (isHedgeable(Entry) && Entry.Attempts == 1)
+    Delay = Hedges.delayOf(Entry.Call.Route);
+  if (!Delay || Now + *Delay >= Entry.Call.Deadline)
+    co_return co_await Pending.wait(Entry.Call.Deadline - Now);
+  std::optional<mesh_answer> Early = co_await Pending.wait(*Delay);
+  if (Early)
+    co_return Early;
+  instant DelayEnded = currentTime();
+  if (!takeHedge(Entry, DelayEnded))
+    co_return co_await Pending.wait(Entry.Call.Deadline - DelayEnded);
+  Metrics.count("calls_hedged");
+  mesh_answer Hedged =
+      emptyAnswer(attempt_outcome::lost, "a second copy of the call is sent");
+  Hedged.Hedged = true;
+  co_return Hedged;
+}
+
+void entry_router::recordLatency(const entry_call &Entry, instant Now) {
+  if (isHedgeable(Entry))
+    Hedges.recordLatency(Entry.Call.Route, Now - Entry.ArrivedAt);
+}
+
 void entry_router::recordObservation(const entry_call &Entry,
                                      const endpoint &Endpoint,
                                      const mesh_answer &Answer,
                                      microseconds Took, instant Now) {
   call_observation Observed;
-  Observed.Verdict = verdictOf(Answer);
+  Observed.Verdict = Answer.Hedged || Answer.Superseded
+                         ? call_verdict::cancelled
+                         : verdictOf(Answer);
   Observed.Latency = Took;
   bool HasLoad =
       !Answer.Unreachable && (Answer.Load.Limit > 0 || Answer.Status > 0 ||
@@ -363,6 +458,8 @@
   Observed.Urgency = Entry.Call.Urgency;
   Observed.LargeBody =
       Entry.Call.Body && Entry.Call.Body->size() > LargeBodyBytes;
+  if (Answer.Outcome == attempt_outcome::answered)
+    recordLatency(Entry, Now);
   if (Answer.Outcome == attempt_outcome::answered && Answer.RunTime.count() > 0)
     Picker.recordDuration(Entry.Call.Route, Endpoint, Answer.RunTime);
   Picker.callEnded(Entry.Call.Service, Endpoint, Observed, Now);
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -31,10 +31,13 @@
 /// A suspension of the machine is handled if it lasted at least this long. The
 /// steady clock does not count this time.
 constexpr milliseconds MinSuspension{300};
-/// Request bodies, and answers that wait to be sent to other nodes, may each
-/// use the memory of the process divided by this number.
-constexpr std::uint64_t BodyMemoryDivisor = 4;
+/// Parts of the memory of the process, in sixteenths.
+constexpr std::uint64_t MemoryParts = 16;
+constexpr std::uint64_t RequestBodyParts = 7;
+constexpr std::uint64_t AnswerBodyParts = 3;
 constexpr std::size_t MaxControlBody = 4 << 10;
+/// Of each address that serves readiness or metrics.
+constexpr std::size_t MaxControlConnections = 64;
 
 http_response textResponse(http::status Status, std::string Text) {
   http_response Response(Status, 11);
@@ -50,12 +53,14 @@
     : Settings(std::move(NodeSettings)),
       Dependencies(std::move(NodeDependencies)), Context(IoContext),
       Signals(Context, SIGTERM, SIGINT, SIGHUP),
-      Bodies{body_budget(Settings.MemoryBytes / BodyMemoryDivisor),
-             body_budget(Settings.MemoryBytes / BodyMemoryDivisor)},
+      Bodies{body_budget(Settings.MemoryBytes / MemoryParts * RequestBodyParts),
+             body_budget(Settings.MemoryBytes / MemoryParts * AnswerBodyParts)},
       State(Settings, *Dependencies.DocumentFormat),
-      Home(Context, *Dependencies.Calls, State, Settings.LinkBytesPerSecond),
-      Hub(Context, State),
-      Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Metrics),
+      Home(Context, *Dependencies.Calls, State, Bodies.Answers,
+           Settings.LinkBytesPerSecond),
+      Hub(Context, State), Usage(Context, Settings, State, Hub, Metrics),
+      Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Usage,
+             Metrics),
       OperatorStore(Dependencies.OpenStore(Settings.Store)),
       MeshStore(Dependencies.OpenStore(Settings.Store)),
       RequestStore(Dependencies.OpenStore(Settings.Store)),
@@ -66,7 +71,8 @@
       MoveExecutor(Context, *RequestStore, Settings,
                    *Dependencies.DocumentFormat, State, Hub),
       Evidence(Home, State, MoveExecutor),
-      OperatorListener(*Dependencies.DocumentFormat, State, MoveExecutor),
+      OperatorListener(Settings, *Dependencies.DocumentFormat, State,
+                       MoveExecutor),
       MeshListener(Membership, MoveExecutor, Registrar),
       OperatorSubscription(*OperatorStore,
                            Dependencies.DocumentFormat->prefix(),
@@ -89,19 +95,23 @@
               session_context{Router, *Dependencies.Calls, State, Metrics,
                               Bodies.Requests}),
       PeerAcceptor(Context),
-      Readiness(Context, MaxControlBody,
-                [this](const http_request &,
-                       const address &) -> awaitable<http_response> {
-                  co_return textResponse(
-                      isReady() ? http::status::ok
-                                : http::status::service_unavailable,
-                      "");
-                }),
-      MetricsService(Context, MaxControlBody,
-                     [this](const http_request &,
-                            const address &) -> awaitable<http_response> {
-                       co_return textResponse(http::status::ok, metricsText());
-                     }) {
+      Readiness(
+          Context, MaxControlBody,
+          [this](const http_request &,
+                 const address &) -> awaitable<http_response> {
+            co_return textResponse(isReady()
+                                       ? http::status::ok
+                                       : http::status::service_unavailable,
+                                   "");
+          },
+          MaxControlConnections),
+      MetricsService(
+          Context, MaxControlBody,
+          [this](const http_request &,
+                 const address &) -> awaitable<http_response> {
+            co_return textResponse(http::status::ok, metricsText());
+          },
+          MaxControlConnections) {
   for (config_store *Store :
        {OperatorStore.get(), MeshStore.get(), RequestStore.get()})
     Store->setEraHandler([this](store_era Era) { State.noteEra(Era); });
@@ -110,6 +120,9 @@
   State.onChange([this] { viewChanged(); });
   Router.setStaleConfigCheck(
       [this] { return State.isBehind() || !isConfigCurrent(currentTime()); });
+  State.onUsage([this](const usage_message &Message, const node_id &From) {
+    Usage.handle(Message, From);
+  });
   State.onEvidence([this](const evidence_report &Report) {
     MoveExecutor.handleEvidence(Report);
   });
@@ -181,17 +194,32 @@
 bool mesh_node::isReady() const { return !Stopping && State.hasConfig(); }
 
 void mesh_node::viewChanged() {
+  Home.setEvacuated(State.isEvacuated());
   std::vector<home_record> Others = State.knownRecords();
   std::erase_if(Others, [this](const home_record &Record) {
     return Record.Node == Settings.Node;
   });
   Hub.setPeers(Others);
+  Usage.viewChanged();
   Router.viewChanged();
   if (!State.view())
     return;
+  Home.setColdStart(coldStartLimits());
   Callers.setIdleTimeout(State.view()->Config->callerLimits().IdleTimeout);
 }
 
+cold_start_limits mesh_node::coldStartLimits() const {
+  const service_entry *Service =
+      State.view()->Config->findService(Settings.Service);
+  if (!Service || Service->ColdCallsPerSecond <= 0)
+    return {};
+  // The extra calls that are allowed are left for calls that arrive closer to
+  // each other than they were sent.
+  double Max = Service->ColdCallsPerSecond * Settings.ColdStartFactor;
+  return {std::min(Service->ColdCallsPerSecond, Max),
+          std::max(static_cast<unsigned>(Max), 1U), Service->ColdStart};
+}
+
 awaitable<void> mesh_node::tickLoop() {
   asio::steady_timer Timer(Context);
   for (;;) {
@@ -209,6 +237,7 @@
   Membership.tick(Now);
   Hub.tick(Now);
   Home.tick(Now);
+  Usage.tick(Now);
   if (Now >= SettingsCheckedAt + SettingsCheckInterval) {
     SettingsCheckedAt = Now;
     if (Dependencies.SettingsMayHaveChanged())
@@ -309,6 +338,7 @@
   Settings.ReportInterval = Read->ReportInterval;
   Settings.Grace = Read->Grace;
   Settings.RetryBudget = Read->RetryBudget;
+  Settings.Domains = Read->Domains;
   log_event("settings_reloaded")
       .add("why", Why)
       .add("service", Settings.Service);
@@ -323,6 +353,7 @@
   Metrics.set("open_sessions", static_cast<double>(Callers.openSessions()));
   Metrics.set("is_watcher", Registrar.isWatcher() ? 1 : 0);
   Metrics.set("on_standby", OnStandby ? 1 : 0);
+  Metrics.set("is_evacuated", State.isEvacuated() ? 1 : 0);
   instant Now = currentTime();
   auto AgeOf = [&](instant ReadAt) {
     return ReadAt == instant()
@@ -338,6 +369,7 @@
               static_cast<double>(State.configNumber().value()));
   Metrics.set("worker_connections_opened",
               static_cast<double>(Home.connectionsOpened()));
+  Metrics.set("server_cold", Home.isServerCold() ? 1 : 0);
   Home.notices().updateMetrics(Metrics, Now);
   Metrics.set("log_lines_dropped",
               static_cast<double>(log_writer::instance().dropped()));
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -7,6 +7,7 @@
 #include "mesh/evidence_reporter.h"
 #include "mesh/peer_session.h"
 #include "mesh/store_listeners.h"
+#include "mesh/usage_limiter.h"
 #include "mesh/worker_report_handler.h"
 #include "net/suspension_clock.h"
 
@@ -74,6 +75,9 @@
   /// Updates what depends on whether this node or a watcher reads the store.
   void checkStoreAccess(instant Now);
   void viewChanged();
+  /// Returns what the backend server beside this node takes while it is cold.
+  /// \pre there is a configuration.
+  cold_start_limits coldStartLimits() const;
   void awaitSignal();
   void reload(std::string_view Why);
   awaitable<void> stop();
@@ -93,6 +97,7 @@
   mesh_state State;
   home_runner Home;
   peer_hub Hub;
+  usage_limiter Usage;
   entry_router Router;
   std::unique_ptr<config_store> OperatorStore;
   std::unique_ptr<config_store> MeshStore;
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -4248,6 +4248,462 @@
 }
 
 
+evacuation_orders::~evacuation_orders() noexcept {
+}
+
+
+void evacuation_orders::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void evacuation_orders::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void evacuation_orders::__set_domains(const std::vector<std::string> & val) {
+  this->domains = val;
+}
+std::ostream& operator<<(std::ostream& out, const evacuation_orders& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t evacuation_orders::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->domains.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += iprot->readString(this->domains[_i104]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t evacuation_orders::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("evacuation_orders");
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::vector<std::string> ::const_iterator _iter105;
+    for (_iter105 = this->domains.begin(); _iter105 != this->domains.end(); ++_iter105)
+    {
+      xfer += oprot->writeString((*_iter105));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(evacuation_orders &a, evacuation_orders &b) {
+  using ::std::swap;
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+  swap(a.domains, b.domains);
+  swap(a.__isset, b.__isset);
+}
+
+evacuation_orders::evacuation_orders(const evacuation_orders& other106) {
+  era = other106.era;
+  revision = other106.revision;
+  domains = other106.domains;
+  __isset = other106.__isset;
+}
+evacuation_orders& evacuation_orders::operator=(const evacuation_orders& other107) {
+  era = other107.era;
+  revision = other107.revision;
+  domains = other107.domains;
+  __isset = other107.__isset;
+  return *this;
+}
+void evacuation_orders::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "evacuation_orders(";
+  out << "era=" << to_string(era);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "domains=" << to_string(domains);
+  out << ")";
+}
+
+
+usage_ask::~usage_ask() noexcept {
+}
+
+
+void usage_ask::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void usage_ask::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void usage_ask::__set_ahead(const int32_t val) {
+  this->ahead = val;
+}
+
+void usage_ask::__set_unspent(const int32_t val) {
+  this->unspent = val;
+}
+
+void usage_ask::__set_returned(const int32_t val) {
+  this->returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_ask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_ask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ahead);
+          this->__isset.ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unspent);
+          this->__isset.unspent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_ask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_ask");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ahead", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ahead);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unspent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->unspent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_ask &a, usage_ask &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.waiting, b.waiting);
+  swap(a.ahead, b.ahead);
+  swap(a.unspent, b.unspent);
+  swap(a.returned, b.returned);
+  swap(a.__isset, b.__isset);
+}
+
+usage_ask::usage_ask(const usage_ask& other108) {
+  workspace = other108.workspace;
+  waiting = other108.waiting;
+  ahead = other108.ahead;
+  unspent = other108.unspent;
+  returned = other108.returned;
+  __isset = other108.__isset;
+}
+usage_ask& usage_ask::operator=(const usage_ask& other109) {
+  workspace = other109.workspace;
+  waiting = other109.waiting;
+  ahead = other109.ahead;
+  unspent = other109.unspent;
+  returned = other109.returned;
+  __isset = other109.__isset;
+  return *this;
+}
+void usage_ask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_ask(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "ahead=" << to_string(ahead);
+  out << ", " << "unspent=" << to_string(unspent);
+  out << ", " << "returned=" << to_string(returned);
+  out << ")";
+}
+
+
+usage_grant::~usage_grant() noexcept {
+}
+
+
+void usage_grant::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void usage_grant::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+
+void usage_grant::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_grant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_grant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_us);
+          this->__isset.retry_after_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_grant");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->retry_after_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_grant &a, usage_grant &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.tokens, b.tokens);
+  swap(a.retry_after_us, b.retry_after_us);
+  swap(a.__isset, b.__isset);
+}
+
+usage_grant::usage_grant(const usage_grant& other110) {
+  workspace = other110.workspace;
+  tokens = other110.tokens;
+  retry_after_us = other110.retry_after_us;
+  __isset = other110.__isset;
+}
+usage_grant& usage_grant::operator=(const usage_grant& other111) {
+  workspace = other111.workspace;
+  tokens = other111.tokens;
+  retry_after_us = other111.retry_after_us;
+  __isset = other111.__isset;
+  return *this;
+}
+void usage_grant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_grant(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "retry_after_us=" << to_string(retry_after_us);
+  out << ")";
+}
+
+
 peer_frame::~peer_frame() noexcept {
 }
 
@@ -4323,6 +4779,21 @@
   this->body_bytes = val;
 __isset.body_bytes = true;
 }
+
+void peer_frame::__set_evacuations(const evacuation_orders& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
+
+void peer_frame::__set_usage_asks(const std::vector<usage_ask> & val) {
+  this->usage_asks = val;
+__isset.usage_asks = true;
+}
+
+void peer_frame::__set_usage_grants(const std::vector<usage_grant> & val) {
+  this->usage_grants = val;
+__isset.usage_grants = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_frame& obj)
 {
   obj.printTo(out);
@@ -4395,14 +4866,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->records.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->records.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->records[_i104].read(iprot);
+              xfer += this->records[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4447,14 +4918,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->buckets.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->buckets.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += iprot->readI64(this->buckets[_i109]);
+              xfer += iprot->readI64(this->buckets[_i121]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4483,14 +4954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->suspects.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->suspects.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->suspects[_i114].read(iprot);
+              xfer += this->suspects[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4515,6 +4986,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage_asks.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->usage_asks.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              xfer += this->usage_asks[_i131].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage_asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage_grants.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->usage_grants.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              xfer += this->usage_grants[_i136].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage_grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4558,10 +5077,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<home_record> ::const_iterator _iter115;
-      for (_iter115 = this->records.begin(); _iter115 != this->records.end(); ++_iter115)
+      std::vector<home_record> ::const_iterator _iter137;
+      for (_iter137 = this->records.begin(); _iter137 != this->records.end(); ++_iter137)
       {
-        xfer += (*_iter115).write(oprot);
+        xfer += (*_iter137).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4588,10 +5107,10 @@
     xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-      std::vector<int64_t> ::const_iterator _iter116;
-      for (_iter116 = this->buckets.begin(); _iter116 != this->buckets.end(); ++_iter116)
+      std::vector<int64_t> ::const_iterator _iter138;
+      for (_iter138 = this->buckets.begin(); _iter138 != this->buckets.end(); ++_iter138)
       {
-        xfer += oprot->writeI64((*_iter116));
+        xfer += oprot->writeI64((*_iter138));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4609,10 +5128,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<suspect_event> ::const_iterator _iter117;
-      for (_iter117 = this->suspects.begin(); _iter117 != this->suspects.end(); ++_iter117)
+      std::vector<suspect_event> ::const_iterator _iter139;
+      for (_iter139 = this->suspects.begin(); _iter139 != this->suspects.end(); ++_iter139)
       {
-        xfer += (*_iter117).write(oprot);
+        xfer += (*_iter139).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4628,6 +5147,37 @@
     xfer += oprot->writeI64(this->body_bytes);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage_asks) {
+    xfer += oprot->writeFieldBegin("usage_asks", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage_asks.size()));
+      std::vector<usage_ask> ::const_iterator _iter140;
+      for (_iter140 = this->usage_asks.begin(); _iter140 != this->usage_asks.end(); ++_iter140)
+      {
+        xfer += (*_iter140).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage_grants) {
+    xfer += oprot->writeFieldBegin("usage_grants", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage_grants.size()));
+      std::vector<usage_grant> ::const_iterator _iter141;
+      for (_iter141 = this->usage_grants.begin(); _iter141 != this->usage_grants.end(); ++_iter141)
+      {
+        xfer += (*_iter141).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4651,46 +5201,55 @@
   swap(a.suspects, b.suspects);
   swap(a.accepts_parts, b.accepts_parts);
   swap(a.body_bytes, b.body_bytes);
+  swap(a.evacuations, b.evacuations);
+  swap(a.usage_asks, b.usage_asks);
+  swap(a.usage_grants, b.usage_grants);
   swap(a.__isset, b.__isset);
 }
 
-peer_frame::peer_frame(const peer_frame& other118) {
-  kind = other118.kind;
-  call = other118.call;
-  config = other118.config;
-  request = other118.request;
-  answer = other118.answer;
-  records = other118.records;
-  evidence = other118.evidence;
-  digest = other118.digest;
-  store_current = other118.store_current;
-  store_era = other118.store_era;
-  buckets = other118.buckets;
-  covered_buckets = other118.covered_buckets;
-  store_age_us = other118.store_age_us;
-  suspects = other118.suspects;
-  accepts_parts = other118.accepts_parts;
-  body_bytes = other118.body_bytes;
-  __isset = other118.__isset;
-}
-peer_frame& peer_frame::operator=(const peer_frame& other119) {
-  kind = other119.kind;
-  call = other119.call;
-  config = other119.config;
-  request = other119.request;
-  answer = other119.answer;
-  records = other119.records;
-  evidence = other119.evidence;
-  digest = other119.digest;
-  store_current = other119.store_current;
-  store_era = other119.store_era;
-  buckets = other119.buckets;
-  covered_buckets = other119.covered_buckets;
-  store_age_us = other119.store_age_us;
-  suspects = other119.suspects;
-  accepts_parts = other119.accepts_parts;
-  body_bytes = other119.body_bytes;
-  __isset = other119.__isset;
+peer_frame::peer_frame(const peer_frame& other142) {
+  kind = other142.kind;
+  call = other142.call;
+  config = other142.config;
+  request = other142.request;
+  answer = other142.answer;
+  records = other142.records;
+  evidence = other142.evidence;
+  digest = other142.digest;
+  store_current = other142.store_current;
+  store_era = other142.store_era;
+  buckets = other142.buckets;
+  covered_buckets = other142.covered_buckets;
+  store_age_us = other142.store_age_us;
+  suspects = other142.suspects;
+  accepts_parts = other142.accepts_parts;
+  body_bytes = other142.body_bytes;
+  evacuations = other142.evacuations;
+  usage_asks = other142.usage_asks;
+  usage_grants = other142.usage_grants;
+  __isset = other142.__isset;
+}
+peer_frame& peer_frame::operator=(const peer_frame& other143) {
+  kind = other143.kind;
+  call = other143.call;
+  config = other143.config;
+  request = other143.request;
+  answer = other143.answer;
+  records = other143.records;
+  evidence = other143.evidence;
+  digest = other143.digest;
+  store_current = other143.store_current;
+  store_era = other143.store_era;
+  buckets = other143.buckets;
+  covered_buckets = other143.covered_buckets;
+  store_age_us = other143.store_age_us;
+  suspects = other143.suspects;
+  accepts_parts = other143.accepts_parts;
+  body_bytes = other143.body_bytes;
+  evacuations = other143.evacuations;
+  usage_asks = other143.usage_asks;
+  usage_grants = other143.usage_grants;
+  __isset = other143.__isset;
   return *this;
 }
 void peer_frame::printTo(std::ostream& out) const {
@@ -4712,6 +5271,9 @@
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "accepts_parts="; (__isset.accepts_parts ? (out << to_string(accepts_parts)) : (out << "<null>"));
   out << ", " << "body_bytes="; (__isset.body_bytes ? (out << to_string(body_bytes)) : (out << "<null>"));
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
+  out << ", " << "usage_asks="; (__isset.usage_asks ? (out << to_string(usage_asks)) : (out << "<null>"));
+  out << ", " << "usage_grants="; (__isset.usage_grants ? (out << to_string(usage_grants)) : (out << "<null>"));
   out << ")";
 }
 
