--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -58,8 +58,9 @@
       State(Settings, *Dependencies.DocumentFormat),
       Home(Context, *Dependencies.Calls, State, Bodies.Answers,
            Settings.LinkBytesPerSecond),
-      Hub(Context, State),
-      Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Metrics),
+      Hub(Context, State), Usage(Context, Settings, State, Hub, Metrics),
+      Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Usage,
+             Metrics),
       OperatorStore(Dependencies.OpenStore(Settings.Store)),
       MeshStore(Dependencies.OpenStore(Settings.Store)),
       RequestStore(Dependencies.OpenStore(Settings.Store)),
@@ -70,7 +71,8 @@
       MoveExecutor(Context, *RequestStore, Settings,
                    *Dependencies.DocumentFormat, State, Hub),
       Evidence(Home, State, MoveExecutor),
-      OperatorListener(*Dependencies.DocumentFormat, State, MoveExecutor),
+      OperatorListener(Settings, *Dependencies.DocumentFormat, State,
+                       MoveExecutor),
       MeshListener(Membership, MoveExecutor, Registrar),
       OperatorSubscription(*OperatorStore,
                            Dependencies.DocumentFormat->prefix(),
@@ -118,6 +120,9 @@
   State.onChange([this] { viewChanged(); });
   Router.setStaleConfigCheck(
       [this] { return State.isBehind() || !isConfigCurrent(currentTime()); });
+  State.onUsage([this](const usage_message &Message, const node_id &From) {
+    Usage.handle(Message, From);
+  });
   State.onEvidence([this](const evidence_report &Report) {
     MoveExecutor.handleEvidence(Report);
   });
@@ -189,17 +194,32 @@
 bool mesh_node::isReady() const { return !Stopping && State.hasConfig(); }
 
 void mesh_node::viewChanged() {
+  Home.setEvacuated(State.isEvacuated());
   std::vector<home_record> Others = State.knownRecords();
   std::erase_if(Others, [this](const home_record &Record) {
     return Record.Node == Settings.Node;
   });
   Hub.setPeers(Others);
+  Usage.viewChanged();
   Router.viewChanged();
   if (!State.view())
     return;
+  Home.setColdStart(coldStartLimits());
   Callers.setIdleTimeout(State.view()->Config->callerLimits().IdleTimeout);
 }
 
+cold_start_limits mesh_node::coldStartLimits() const {
+  const service_entry *Service =
+      State.view()->Config->findService(Settings.Service);
+  if (!Service || Service->ColdCallsPerSecond <= 0)
+    return {};
+  // The extra calls that are allowed are left for calls that arrive closer to
+  // each other than they were sent.
+  double Max = Service->ColdCallsPerSecond * Settings.ColdStartFactor;
+  return {std::min(Service->ColdCallsPerSecond, Max),
+          std::max(static_cast<unsigned>(Max), 1U), Service->ColdStart};
+}
+
 awaitable<void> mesh_node::tickLoop() {
   asio::steady_timer Timer(Context);
   for (;;) {
@@ -217,6 +237,7 @@
   Membership.tick(Now);
   Hub.tick(Now);
   Home.tick(Now);
+  Usage.tick(Now);
   if (Now >= SettingsCheckedAt + SettingsCheckInterval) {
     SettingsCheckedAt = Now;
     if (Dependencies.SettingsMayHaveChanged())
@@ -317,6 +338,7 @@
   Settings.ReportInterval = Read->ReportInterval;
   Settings.Grace = Read->Grace;
   Settings.RetryBudget = Read->RetryBudget;
+  Settings.Domains = Read->Domains;
   log_event("settings_reloaded")
       .add("why", Why)
       .add("service", Settings.Service);
@@ -331,6 +353,7 @@
   Metrics.set("open_sessions", static_cast<double>(Callers.openSessions()));
   Metrics.set("is_watcher", Registrar.isWatcher() ? 1 : 0);
   Metrics.set("on_standby", OnStandby ? 1 : 0);
+  Metrics.set("is_evacuated", State.isEvacuated() ? 1 : 0);
   instant Now = currentTime();
   auto AgeOf = [&](instant ReadAt) {
     return ReadAt == instant()
@@ -346,6 +369,7 @@
               static_cast<double>(State.configNumber().value()));
   Metrics.set("worker_connections_opened",
               static_cast<double>(Home.connectionsOpened()));
+  Metrics.set("server_cold", Home.isServerCold() ? 1 : 0);
   Home.notices().updateMetrics(Metrics, Now);
   Metrics.set("log_lines_dropped",
               static_cast<double>(log_writer::instance().dropped()));
