Wait in the tests of keys until the configuration is known as newest

Cause: a node that has just started says 503 to an unknown key, as it does to an unknown route, and one test had a backend server of a service that no configuration named. Change: the tests wait for the condition and check each status till then. Result: test_config, test_platform and the three cases of the mesh suite workspaces pass.

--- a/tests/mesh/workspaces_test.cpp
+++ b/tests/mesh/workspaces_test.cpp
@@ -22,7 +22,9 @@
 void configure(mesh_fixture &Mesh, std::uint64_t Number, json::array Keys) {
   json::object Config{
       {"version", Number},
-      {"services", {json::object{{"name", "desk"}, {"maxConnections", 110}}}},
+      {"services",
+       {json::object{{"name", "desk"}, {"maxConnections", 110}},
+        json::object{{"name", "kassa"}, {"maxConnections", 110}}}},
       {"tenants", {json::object{{"name", "north"}, {"apiKeys", Keys}}}},
       {"virtualHosts",
        {json::object{{"host", "shop.example"},
@@ -35,6 +37,16 @@
   return Request.insert(Request.find("\r\n") + 2, Field + "\r\n");
 }
 
+/// Waits until the node knows that its configuration is the newest. Until then
+/// it says 503 to an unknown key.
+awaitable<void> current(mesh_fixture &Mesh, std::size_t Node) {
+  unsigned Status = 503;
+  for (unsigned Call = 0; Status == 503; ++Call)
+    Status = statusOf(co_await Mesh.call(
+        Node, Mesh.get("/desk/0", "early-" + std::to_string(Call))));
+  BOOST_TEST(Status == 401u);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(workspaces)
@@ -48,6 +60,7 @@
   Mesh.addNode("kassa");
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
+    co_await current(Mesh, 1);
     // Node 1 has no server of this service, so the call passes between nodes.
     auto Answer = co_await Mesh.call(
         1, with(with(Mesh.get("/desk/1", "a"), "credential: key-2"),
@@ -76,6 +89,7 @@
   Mesh.addNode("desk");
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
+    co_await current(Mesh, 0);
     std::string Request = with(Mesh.post("/desk/1", "a", std::string(9, 'x')),
                                "Credential: key-9");
     Request.resize(Request.size() - 9);
@@ -93,6 +107,7 @@
   Mesh.addNode("desk");
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
+    co_await current(Mesh, 0);
     caller Used(Mesh.context());
     co_await Used.connect(Mesh.node(0).settings().Callers);
     auto Answer =
