--- a/src/libchivebeam/config/snapshot_builder.cpp
+++ b/src/libchivebeam/config/snapshot_builder.cpp
@@ -206,7 +206,8 @@
     const workspace &Workspace = Rules.Workspaces[Index];
     std::string Path = "/workspaces/" + std::to_string(Index);
     auto Refuse = [&](std::string Field, std::string What, std::string Remedy) {
-      Errors.push_back({error_kind::invalid_input, Path + "/" + Field,
+      Errors.push_back({error_kind::invalid_input,
+                        std::string(Path).append("/").append(Field),
                         std::move(What), std::move(Remedy)});
     };
     if (Workspace.Name.empty())
