--- a/src/chivebeam/mesh/worker_report_handler.cpp
+++ b/src/chivebeam/mesh/worker_report_handler.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t MaxReportBytes = 64 << 10;
+constexpr std::size_t MaxReportConnections = 64;
 /// The backend server waits one second for the answer to a report.
 constexpr milliseconds MaxReportDelay{700};
 constexpr milliseconds LoadedCheckInterval{10};
@@ -24,9 +25,11 @@
     : Context(IoContext), Settings(MeshSettings), Protocol(WorkerProtocol),
       Home(HomeRunner), State(MeshState), Notes(Store, Settings),
       Reports(Settings.ReportInterval),
-      Service(Context, MaxReportBytes,
-              [this](const http_request &Request, const address &)
-                  -> awaitable<http_response> { return handle(Request); }) {
+      Service(
+          Context, MaxReportBytes,
+          [this](const http_request &Request, const address &)
+              -> awaitable<http_response> { return handle(Request); },
+          MaxReportConnections) {
   Home.onServerLeaving(
       [this](const worker_start &Start) { serverLeaves(Start); });
   State.onOwnCopy([this](const home_record &Copy) { restore(Copy); });
@@ -168,8 +171,10 @@
       Message->IsDeregistration
           ? Reports.leave(Message->Worker, Message->StartedAtMs, Now)
           : Reports.report(Message->Report, Now);
-  if (Effect == report_effect::unchanged)
+  if (Effect == report_effect::unchanged) {
+    Home.coldStartReported(Reports.current()->Worker.ReadySince);
     co_return Protocol.acknowledge();
+  }
   const worker_report &Known = *Reports.current();
   bool Leaving = Known.Worker.State == worker_state::leaving;
   log_event("worker_report")
@@ -181,6 +186,8 @@
   if (Effect == report_effect::stale)
     co_return Protocol.acknowledge();
   announce();
+  if (!Message->IsDeregistration)
+    Home.coldStartReported(Known.Worker.ReadySince);
   if (Effect == report_effect::started && !Leaving)
     asio::co_spawn(co_await asio::this_coro::executor,
                    Notes.saveStarted(State.ownRecord()), asio::detached);
