--- a/src/libchivebeam/config/workspace.h
+++ b/src/libchivebeam/config/workspace.h
@@ -12,7 +12,7 @@
 /// type.
 struct workspace {
   workspace_name Name;
-  unsigned Priority = 0; ///< 0 is the highest; precedes the route's urgency
+  unsigned Priority = 0; ///< 0 is the highest
   usage_cap Cap;
   std::vector<api_key> Keys;
 };
