--- a/src/chivebeam/mesh/entry_router_attempt.cpp
+++ b/src/chivebeam/mesh/entry_router_attempt.cpp
@@ -114,10 +114,8 @@
     Attempt.raise();
   instant AnsweredAt = currentTime();
   bool IsSilent = Answer && Answer->Silent && !LateAnswer.isSet();
-  if (Answer && Answer->Hedged) {
-    *MovedOn = true;
-    Entry.Silent->add(Attempt);
-  } else if (IsSilent && Retries.mayMoveOn(Entry, AnsweredAt)) {
+  bool IsHedged = Answer && Answer->Hedged;
+  if (IsHedged || (IsSilent && Retries.mayMoveOn(Entry, AnsweredAt))) {
     // The home node may still run the call, so the attempt goes on until there
     // is another answer.
     *MovedOn = true;
