--- a/tests/doors/doors_fixture.cpp
+++ b/tests/doors/doors_fixture.cpp
@@ -186,9 +186,11 @@
       if (Target == "/api/slow")
         co_await sleepFor(TestTimeout);
       std::string Body(Target == "/api/large" ? LargeAnswerBytes : 2, 'x');
-      co_await write(Socket,
-                     Start + "Content-Length: " + std::to_string(Body.size()) +
-                         "\r\n\r\n" + Body);
+      Start.append("Content-Length: ")
+          .append(std::to_string(Body.size()))
+          .append("\r\n\r\n")
+          .append(Body);
+      co_await write(Socket, Start);
       ++Moved;
     }
   };
