Let both servers answer before the test of hedged requests

In 8 runs with a count, it failed in all 5 in which the earlier calls had all gone to one server, and passed in the 3 in which the other had answered one: a copy goes only to a server whose load is known. Change: the test calls until both have answered; its checks are the same.

--- a/tests/mesh/hedging_test.cpp
+++ b/tests/mesh/hedging_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr unsigned LearningCalls = 80;
+constexpr unsigned CallsTogether = 3;
 
 /// A mesh of one entry node and two backend servers, of which the one that gets
 /// a request to a path with "slow" first doesn't answer it.
@@ -47,12 +48,32 @@
                                orError(Ignored));
   }
 
-  /// Lets the entry node learn how long calls take, and the load of servers.
+  /// Lets the entry node learn how long calls take, and the load of both
+  /// servers: one that has answered no call gets no copy.
   awaitable<void> learn() {
     for (unsigned Call = 0; Call < LearningCalls; ++Call)
       BOOST_REQUIRE(statusOf(co_await call(
                         0, get("/desk/1", "l" + std::to_string(Call)))) ==
                     200u);
+    std::size_t Before1 = worker(1).Received.size();
+    std::size_t Before2 = worker(2).Received.size();
+    while (worker(1).Received.size() == Before1 ||
+           worker(2).Received.size() == Before2)
+      co_await callTogether();
+  }
+
+  /// Makes as many calls at a time as leave a server a free slot.
+  awaitable<void> callTogether() {
+    unsigned Ended = 0;
+    for (unsigned Call = 0; Call < CallsTogether; ++Call)
+      asio::co_spawn(
+          context(),
+          [this, &Ended, Call]() -> awaitable<void> {
+            co_await call(0, get("/desk/1", "c" + std::to_string(Call)));
+            ++Ended;
+          },
+          asio::detached);
+    co_await until([&Ended] { return Ended == CallsTogether; });
   }
 
   std::optional<std::size_t> SlowServer;
