Say in the log that a call was refused by an evacuation

Cause: calls that a home node in an evacuated failure domain refused were logged as if its backend server were another one.

--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -136,8 +136,7 @@
   body_offer Offer{Slot.Call, Call.OfferedBytes, Call.Goal, Call.Deadline,
                    Queue.expectedLatency(Slot, Now)};
   if (!isForCurrentWorker(Call))
-    Decide(refusal(MinRetryAfter,
-                   "the expected backend server is not beside this node"));
+    Decide(refusal(MinRetryAfter, reasonNotForWorker()));
   else if (Connections.isUnreachable(Now))
     Decide(refusal(MinRetryAfter, "the backend server can't be reached"));
   else if (!Queue.wouldAccept(Slot, Now))
@@ -197,8 +196,7 @@
   instant Now = currentTime();
   const mesh_call &Call = Job->Call;
   if (!isForCurrentWorker(Call))
-    co_return refuse(*Job,
-                     "the expected backend server is not beside this node");
+    co_return refuse(*Job, reasonNotForWorker());
   if (Connections.isUnreachable(Now))
     co_return refuse(*Job, "the backend server can't be reached");
   Queue.recordRefusedAtEntry(Call.Urgency, Call.RefusedAtEntry, Now);
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -116,6 +116,8 @@
   /// Called when this start of the backend server is known to be gone.
   void serverEnded(const worker_start &Start, instant Now);
   bool isForCurrentWorker(const mesh_call &Call) const;
+  /// Returns why a call is not for the current backend server.
+  std::string reasonNotForWorker() const;
   /// Called after the backend server, which may have ended, did not accept or
   /// closed a connection.
   void serverMayHaveEnded();
--- a/src/chivebeam/mesh/home_runner_server.cpp
+++ b/src/chivebeam/mesh/home_runner_server.cpp
@@ -41,6 +41,11 @@
   apply(Queue.setSlots(AcceptsCalls ? Worker->Worker.Slots : 0, Now));
 }
 
+std::string home_runner::reasonNotForWorker() const {
+  return Evacuated ? "the failure domain of this node is evacuated"
+                   : "the expected backend server is not beside this node";
+}
+
 void home_runner::setEvacuated(bool IsEvacuated) {
   if (std::exchange(Evacuated, IsEvacuated) == IsEvacuated)
     return;
@@ -53,7 +58,7 @@
   }
   updateSlots(Now);
   if (Evacuated)
-    endOffers("this failure domain is evacuated");
+    endOffers(reasonNotForWorker());
 }
 
 void home_runner::setColdStart(const cold_start_limits &Limits) {
