Order waiting calls by the priority of their workspace

Cause: the priority of a workspace travelled with its calls and decided nothing, and a workspace beyond its usual calls took the room of others. Change: a rank of priority and urgency replaces the urgency in all decisions; a third of each workspace's calls has the highest priority, so that none starves; calls beyond the share by usage caps go last of their priority. Load reports leave out ratios of zero and hold up to twelve.

--- a/src/chivebeam/mesh/call_preparer.cpp
+++ b/src/chivebeam/mesh/call_preparer.cpp
@@ -40,7 +40,8 @@
   Call.Urgency = Route.Urgency;
   if (Permission.Workspace) {
     Call.Workspace = Permission.Workspace->Name;
-    Call.WorkspacePriority = Permission.Workspace->Priority;
+    Call.WorkspacePriority =
+        priorityOfCall(Permission.Workspace->Priority, Call.Id);
   }
   Entry.Key = std::move(Request.Key);
   std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -170,14 +170,14 @@
   const endpoint_group *Group =
       findGroup(*Entry.View, Call.Service, Entry.Version);
   return !Group ||
-         Roots.admit(Call.Route, Call.Urgency, Picker.overload(*Group, Now));
+         Roots.admit(Call.Route, Call.rank(), Picker.overload(*Group, Now));
 }
 
 entry_result entry_router::refuseAtEntry(entry_call &Entry,
                                          std::string Reason) {
   const mesh_call &Call = Entry.Call;
   if (!Call.Nested && Entry.Attempts == 0)
-    ++RefusedAtEntry[{Call.Service, Call.Urgency}];
+    ++RefusedAtEntry[{Call.Service, Call.rank()}];
   instant Now = currentTime();
   const endpoint_group *Group =
       findGroup(*Entry.View, Call.Service, Entry.Version);
@@ -208,7 +208,7 @@
   const mesh_call &Call = Entry.Call;
   return {Call.Route,          Call.Goal - Now,
           Call.Deadline - Now, Call.Body ? Call.Body->size() : 0,
-          Call.Nested,         Call.Urgency};
+          Call.Nested,         Call.rank()};
 }
 
 awaitable<entry_result> entry_router::runAttempts(entry_call &Entry,
--- a/src/chivebeam/mesh/entry_router_attempt.cpp
+++ b/src/chivebeam/mesh/entry_router_attempt.cpp
@@ -92,7 +92,7 @@
       State.notices().rateLimit({Endpoint.Worker, Endpoint.StartedAtMs});
   if (!Call.Nested)
     Call.RefusedAtEntry =
-        std::exchange(RefusedAtEntry[{Call.Service, Call.Urgency}], 0);
+        std::exchange(RefusedAtEntry[{Call.Service, Call.rank()}], 0);
   Picker.callStarted(Endpoint, Now);
   Preparer.versions().callStarted(Call.Service, Entry.OnNewVersion);
   if (Endpoint.Node == Settings.Node)
@@ -191,7 +191,8 @@
                 !Answer.Unreachable && Answer.Load.Limit > 0;
   if (IsFull)
     Observed.RetryAfter = Answer.RetryAfter;
-  Observed.Urgency = Entry.Call.Urgency;
+  unsigned Rank = Entry.Call.rank();
+  Observed.Urgency = Answer.BeyondShare ? lowestRankBeside(Rank) : Rank;
   Observed.LargeBody =
       Entry.Call.Body && Entry.Call.Body->size() > LargeBodyBytes;
   if (Answer.Outcome == attempt_outcome::answered)
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -108,7 +108,7 @@
 slot_request home_runner::slotRequest(const mesh_call &Call) {
   return {call_number(++NextNumber),
           Call.Route,
-          Call.Urgency,
+          Call.rank(),
           Call.Nested,
           Call.Goal,
           Call.Deadline,
@@ -125,8 +125,10 @@
 }
 
 void home_runner::refuse(const job &Job, std::string Reason) {
-  finish(Job,
-         refusal(Queue.excessWait(Job.Slot, currentTime()), std::move(Reason)));
+  mesh_answer Answer =
+      refusal(Queue.excessWait(Job.Slot, currentTime()), std::move(Reason));
+  Answer.BeyondShare = Job.BeyondShare;
+  finish(Job, std::move(Answer));
 }
 
 call_number home_runner::offerBody(const mesh_call &Call,
@@ -199,8 +201,13 @@
     co_return refuse(*Job, reasonNotForWorker());
   if (Connections.isUnreachable(Now))
     co_return refuse(*Job, "the backend server can't be reached");
-  Queue.recordRefusedAtEntry(Call.Urgency, Call.RefusedAtEntry, Now);
+  Queue.recordRefusedAtEntry(Call.rank(), Call.RefusedAtEntry, Now);
   applyKnownLimit(Call, Now);
+  if (!Shares.countCall(Call.Workspace, Now)) {
+    ++CallsBeyondShares;
+    Job->BeyondShare = true;
+    Job->Slot.Urgency = lowestRankBeside(Job->Slot.Urgency);
+  }
   slot_decision Answer = Queue.arrive(Job->Slot, Now);
   if (Answer == slot_decision::refuse)
     co_return refuse(*Job, "no slot would be free in time");
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -13,6 +13,7 @@
 #include "net/clock.h"
 #include "routing/body_admission.h"
 #include "routing/broken_calls.h"
+#include "routing/fair_shares.h"
 #include "routing/slot_queue.h"
 #include "routing/suspect_listener.h"
 
@@ -45,6 +46,10 @@
   /// Sets whether the failure domain of this node is evacuated. While it is,
   /// all waiting and new calls are refused as not run.
   void setEvacuated(bool IsEvacuated);
+  /// Sets the workspaces that share the backend server.
+  void setWorkspaces(const std::map<workspace_name, workspace> &Workspaces) {
+    Shares.setWorkspaces(Workspaces);
+  }
   /// Sets what the backend server takes while it is cold.
   void setColdStart(const cold_start_limits &Limits);
   /// Applies when a report of the backend server says that its cold start ends.
@@ -89,6 +94,8 @@
   const evidence_by_route &evidence() const { return Evidence; }
   const server_notices &notices() const { return Notices; }
   std::uint64_t connectionsOpened() const { return Connections.opened(); }
+  /// Returns the calls that arrived beyond the share of their workspace.
+  std::uint64_t callsBeyondShares() const { return CallsBeyondShares; }
 
 private:
   /// A call with its slot request and its reply.
@@ -97,6 +104,7 @@
     cancel_signal Cancel;
     reply Reply;
     slot_request Slot;
+    bool BeyondShare = false; ///< of its workspace
   };
   using job_ptr = std::shared_ptr<job>;
 
@@ -156,6 +164,8 @@
   bool Stopping = false;
   bool Evacuated = false;
   slot_queue Queue;
+  fair_shares Shares;
+  std::uint64_t CallsBeyondShares = 0;
   server_notices Notices;
   asio::steady_timer StartTimer;
   body_admission Bodies;
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -7,6 +7,7 @@
 #include "membership/home_record.h"
 #include "mesh/header_list.h"
 #include "routing/call_fingerprint.h"
+#include "routing/call_rank.h"
 #include "routing/home_load.h"
 #include "routing/retry_policy.h"
 #include "routing/server_notice.h"
@@ -31,11 +32,12 @@
   header_list Fields;
   shared_body Body;
   instant Deadline;
-  instant Goal; ///< latency goal: a later answer is worth less
-  unsigned Urgency = 0;
+  instant Goal;         ///< latency goal: a later answer is worth less
+  unsigned Urgency = 0; ///< of the route
   /// Of the caller's API key; empty for anonymous and nested calls.
   workspace_name Workspace;
-  unsigned WorkspacePriority = 0; ///< 0 is the highest
+  /// Of this call, see priorityOfCall; 0 is the highest.
+  unsigned WorkspacePriority = 0;
   bool Idempotent = false;
   /// Similar calls that the entry node refused without asking a home node
   /// since it last sent one.
@@ -54,6 +56,9 @@
   std::optional<call_rate> KnownRateLimit;
   /// Of the complete call; zero if the entry node sends none.
   call_fingerprint Fingerprint;
+
+  /// Returns the rank among waiting calls; lower ranks go first.
+  unsigned rank() const { return rankOf(WorkspacePriority, Urgency); }
 };
 
 /// Result of one attempt at a backend server. Value type.
@@ -74,6 +79,9 @@
   /// Start of the backend server that ended while it ran the call. Its name is
   /// empty in an answer from another node.
   std::optional<worker_start> EndedServer;
+  /// True if the call was refused after its workspace sent more than its share;
+  /// other calls of the same rank may be taken.
+  bool BeyondShare = false;
   std::string Reason;       ///< why there is no answer; written to the log
   bool Unreachable = false; ///< true if the home node could not be reached
   /// True if the home node is only silent, so that the answer may still come.
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -205,6 +205,7 @@
   if (!State.view())
     return;
   Home.setColdStart(coldStartLimits());
+  Home.setWorkspaces(State.view()->Config->workspaces());
   Callers.setIdleTimeout(State.view()->Config->callerLimits().IdleTimeout);
 }
 
@@ -369,6 +370,8 @@
               static_cast<double>(State.configNumber().value()));
   Metrics.set("worker_connections_opened",
               static_cast<double>(Home.connectionsOpened()));
+  Metrics.set("calls_beyond_share",
+              static_cast<double>(Home.callsBeyondShares()));
   Metrics.set("server_cold", Home.isServerCold() ? 1 : 0);
   Home.notices().updateMetrics(Metrics, Now);
   Metrics.set("log_lines_dropped",
--- a/src/chivebeam/wire/call_wire.cpp
+++ b/src/chivebeam/wire/call_wire.cpp
@@ -156,6 +156,8 @@
   Out.ran_us = Answer.RunTime.count();
   if (Answer.EndedServer)
     Out.__set_ended_born_ms(Answer.EndedServer->StartedAtMs);
+  if (Answer.BeyondShare)
+    Out.__set_beyond_share(true);
   return Out;
 }
 
@@ -176,6 +178,7 @@
   Answer.RunTime = microseconds(In.ran_us);
   if (In.__isset.ended_born_ms)
     Answer.EndedServer = worker_start{worker_id(), In.ended_born_ms};
+  Answer.BeyondShare = In.__isset.beyond_share && In.beyond_share;
   return Answer;
 }
 
--- a/src/libchivebeam/routing/refusal_ratios.h
+++ b/src/libchivebeam/routing/refusal_ratios.h
@@ -10,7 +10,7 @@
 
 /// The ratio of recently refused outside calls of one urgency.
 struct refusal_ratio {
-  unsigned Urgency = 0; ///< 0 is the most urgent
+  unsigned Urgency = 0; ///< 0 is the most urgent; see rankOf
   unsigned Permille = 0;
 
   friend bool operator==(const refusal_ratio &,
@@ -46,19 +46,21 @@
   void record(unsigned Urgency, bool Refused, instant Now) {
     Ratios.try_emplace(Urgency, HalfLife).first->second.record(Refused, Now);
   }
+  /// Returns the ratios above zero; an urgency without a ratio has none.
   refusal_ratios ratios(instant Now) const {
     refusal_ratios Out;
-    for (const auto &[Urgency, Ratio] : Ratios)
-      if (Ratio.weight(Now) >= 1 && Out.size() < MaxRatios)
-        Out.push_back(
-            {Urgency, static_cast<unsigned>(Ratio.value(Now) * 1'000)});
+    for (const auto &[Urgency, Ratio] : Ratios) {
+      auto Permille = static_cast<unsigned>(Ratio.value(Now) * 1'000);
+      if (Ratio.weight(Now) >= 1 && Permille > 0 && Out.size() < MaxRatios)
+        Out.push_back({Urgency, Permille});
+    }
     return Out;
   }
 
 private:
   /// Bounds the size of the load report, which is sent with every answer
   /// between nodes.
-  static constexpr std::size_t MaxRatios = 4;
+  static constexpr std::size_t MaxRatios = 12;
 
   microseconds HalfLife;
   std::map<unsigned, decaying_ratio> Ratios;
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -17,7 +17,7 @@
 struct slot_request {
   call_number Call;
   route_name Route;
-  unsigned Urgency = 0; ///< 0 is the most urgent
+  unsigned Urgency = 0; ///< 0 is the most urgent; see rankOf
   bool Nested = false;  ///< made by a backend server while it runs another call
   instant Goal;         ///< answers after it are worth less
   instant Deadline;     ///< answers after it are useless
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -196,7 +196,7 @@
   18: optional double rate_limit
   // Workspace of the caller; absent for anonymous and nested calls.
   19: optional string workspace
-  // Priority of the workspace; absent if it is zero.
+  // Priority of the workspace for this call; absent if it is zero.
   20: optional i32 workspace_priority
 }
 
@@ -210,6 +210,9 @@
   7: i64 ran_us
   // Start of the backend server that ended while it ran the call.
   8: optional i64 ended_born_ms
+  // True if the call was refused because its workspace had sent more than its
+  // share.
+  9: optional bool beyond_share
 }
 
 // The end of a backend server while it ran a call; without a worker, the
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -3878,6 +3878,11 @@
   this->ended_born_ms = val;
 __isset.ended_born_ms = true;
 }
+
+void call_answer::__set_beyond_share(const bool val) {
+  this->beyond_share = val;
+__isset.beyond_share = true;
+}
 std::ostream& operator<<(std::ostream& out, const call_answer& obj)
 {
   obj.printTo(out);
@@ -3982,6 +3987,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->beyond_share);
+          this->__isset.beyond_share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4040,6 +4053,11 @@
     xfer += oprot->writeI64(this->ended_born_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.beyond_share) {
+    xfer += oprot->writeFieldBegin("beyond_share", ::apache::thrift::protocol::T_BOOL, 9);
+    xfer += oprot->writeBool(this->beyond_share);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4055,6 +4073,7 @@
   swap(a.reason, b.reason);
   swap(a.ran_us, b.ran_us);
   swap(a.ended_born_ms, b.ended_born_ms);
+  swap(a.beyond_share, b.beyond_share);
   swap(a.__isset, b.__isset);
 }
 
@@ -4067,6 +4086,7 @@
   reason = other96.reason;
   ran_us = other96.ran_us;
   ended_born_ms = other96.ended_born_ms;
+  beyond_share = other96.beyond_share;
   __isset = other96.__isset;
 }
 call_answer& call_answer::operator=(const call_answer& other97) {
@@ -4078,6 +4098,7 @@
   reason = other97.reason;
   ran_us = other97.ran_us;
   ended_born_ms = other97.ended_born_ms;
+  beyond_share = other97.beyond_share;
   __isset = other97.__isset;
   return *this;
 }
@@ -4092,6 +4113,7 @@
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "ran_us=" << to_string(ran_us);
   out << ", " << "ended_born_ms="; (__isset.ended_born_ms ? (out << to_string(ended_born_ms)) : (out << "<null>"));
+  out << ", " << "beyond_share="; (__isset.beyond_share ? (out << to_string(beyond_share)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1531,7 +1531,7 @@
 std::ostream& operator<<(std::ostream& out, const call_request& obj);
 
 typedef struct _call_answer__isset {
-  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false), ran_us(false), ended_born_ms(false) {}
+  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false), ran_us(false), ended_born_ms(false), beyond_share(false) {}
   bool outcome :1;
   bool status :1;
   bool fields :1;
@@ -1540,6 +1540,7 @@
   bool reason :1;
   bool ran_us :1;
   bool ended_born_ms :1;
+  bool beyond_share :1;
 } _call_answer__isset;
 
 class call_answer : public virtual ::apache::thrift::TBase {
@@ -1553,7 +1554,8 @@
                 wait_us(0),
                 reason(),
                 ran_us(0),
-                ended_born_ms(0) {
+                ended_born_ms(0),
+                beyond_share(0) {
   }
 
   virtual ~call_answer() noexcept;
@@ -1565,6 +1567,7 @@
   std::string reason;
   int64_t ran_us;
   int64_t ended_born_ms;
+  bool beyond_share;
 
   _call_answer__isset __isset;
 
@@ -1584,6 +1587,8 @@
 
   void __set_ended_born_ms(const int64_t val);
 
+  void __set_beyond_share(const bool val);
+
   bool operator == (const call_answer & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -1604,6 +1609,10 @@
       return false;
     else if (__isset.ended_born_ms && !(ended_born_ms == rhs.ended_born_ms))
       return false;
+    if (__isset.beyond_share != rhs.__isset.beyond_share)
+      return false;
+    else if (__isset.beyond_share && !(beyond_share == rhs.beyond_share))
+      return false;
     return true;
   }
   bool operator != (const call_answer &rhs) const {
--- a/tests/mesh/workspaces_test.cpp
+++ b/tests/mesh/workspaces_test.cpp
@@ -18,20 +18,34 @@
           {"maxAttempts", 2},      {"allowAnonymous", AllowsAnonymous}};
 }
 
-/// Stores a configuration in which the workspace "north" holds Keys.
-void configure(mesh_fixture &Mesh, std::uint64_t Number, json::array Keys) {
+/// Stores a configuration with these workspaces.
+void configureWith(mesh_fixture &Mesh, std::uint64_t Number,
+                   json::array Workspaces) {
   json::object Config{
       {"version", Number},
       {"services",
        {json::object{{"name", "desk"}, {"maxConnections", 110}},
         json::object{{"name", "kassa"}, {"maxConnections", 110}}}},
-      {"tenants", {json::object{{"name", "north"}, {"apiKeys", Keys}}}},
+      {"tenants", std::move(Workspaces)},
       {"virtualHosts",
        {json::object{{"host", "shop.example"},
                      {"paths", {route("desk", false), route("open", true)}}}}}};
   Mesh.store().put("op/config", json::serialize(Config));
 }
 
+/// Stores a configuration in which the workspace "north" holds Keys.
+void configure(mesh_fixture &Mesh, std::uint64_t Number, json::array Keys) {
+  configureWith(Mesh, Number,
+                {json::object{{"name", "north"}, {"apiKeys", Keys}}});
+}
+
+/// Returns an id that starts with Prefix, of a call that is not promoted.
+std::string idOfUnpromoted(std::string Prefix) {
+  while (priorityOfCall(1, request_id(Prefix)) == 0)
+    Prefix += "x";
+  return Prefix;
+}
+
 /// Inserts a header field into a request.
 std::string with(std::string Request, const std::string &Field) {
   return Request.insert(Request.find("\r\n") + 2, Field + "\r\n");
@@ -134,4 +148,39 @@
   });
 }
 
+// Answers a backend server with all slots busy: a call of a workspace with a
+// higher priority goes before calls that arrived earlier.
+BOOST_AUTO_TEST_CASE(the_priority_of_a_workspace_orders_waiting_calls) {
+  mesh_fixture Mesh;
+  configureWith(Mesh, 1,
+                {json::object{{"name", "north"}, {"apiKeys", {"key-1"}}},
+                 json::object{{"name", "south"},
+                              {"apiKeys", {"key-2"}},
+                              {"priority", 2}}});
+  Mesh.addNode("desk", "zone-a", 1);
+  Mesh.worker(0).Script.Delay = milliseconds(150);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await current(Mesh, 0);
+    std::vector<std::unique_ptr<caller>> Callers;
+    for (const char *Key : {"key-1", "key-2", "key-2", "key-1"}) {
+      std::string Number = std::to_string(Callers.size());
+      Callers.push_back(std::make_unique<caller>(Mesh.context()));
+      co_await Callers.back()->connect(Mesh.node(0).settings().Callers);
+      co_await Callers.back()->send(
+          with(Mesh.get("/desk/" + Number, idOfUnpromoted(Number)),
+               std::string("Credential: ") + Key));
+      co_await Mesh.pause(milliseconds(20));
+    }
+    for (auto &Caller : Callers)
+      BOOST_TEST(statusOf(co_await Caller->read()) == 200u);
+    std::vector<std::string> Order;
+    for (const auto &Request : Mesh.worker(0).Received)
+      Order.emplace_back(Request.target());
+    BOOST_TEST(Order == (std::vector<std::string>{"/desk/0", "/desk/3",
+                                                  "/desk/1", "/desk/2"}),
+               boost::test_tools::per_element());
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
