Ask home nodes for a free slot before a call waits for one

Change: a call asks up to two home nodes of its failure domain to run it only if a slot is free, while that is likely; then it waits where the picker finds it best. Refusals of a workspace's excess calls count in no ratio and end the search.

--- a/src/chivebeam/mesh/entry_call.h
+++ b/src/chivebeam/mesh/entry_call.h
@@ -20,6 +20,10 @@
   mesh_call Call;
   attempt_history History;
   std::set<node_id> Tried;
+  /// Home nodes that had no free slot for this call. They are asked again once
+  /// it may wait for a slot.
+  std::set<node_id> Busy;
+  bool MayWait = false;
   microseconds RetryAfter{0};
   unsigned Attempts = 0;
   /// Home nodes that were asked and could be reached.
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -16,6 +16,10 @@
 /// Retry times are extended at random by up to this percentage, so that callers
 /// that were refused together don't return together.
 constexpr int RetryAfterJitterPercent = 50;
+/// A call waits for a slot only after this many home nodes had none free. The
+/// answers tell their present load, so that it waits where it is shortest.
+constexpr std::size_t MaxBusyHomeNodes = 2;
+
 std::uint64_t seedOf(const node_id &Node) {
   return std::hash<std::string>()(Node.str()) ^
          static_cast<std::uint64_t>(currentTime().time_since_epoch().count());
@@ -217,11 +221,15 @@
     instant Started = currentTime();
     if (isEnding(Entry))
       co_return endAtEntry(Entry, "this node is about to end");
-    if (Entry.Attempts > 0 && isKeyRevoked(Entry))
+    if ((Entry.Attempts > 0 || !Entry.Busy.empty()) && isKeyRevoked(Entry))
       co_return endAtEntry(Entry, "the API key of the caller was removed");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
     const endpoint *Chosen = choose(Entry, Started);
+    if (endsSearch(Entry, Chosen)) {
+      letWait(Entry);
+      continue;
+    }
     if (!Chosen) {
       std::optional<entry_result> Late =
           co_await waitForSilentNodes(Entry, Cancel);
@@ -233,6 +241,7 @@
     endpoint Endpoint = *Chosen;
     Entry.Tried.insert(Endpoint.Node);
     ++Entry.Attempts;
+    Entry.Call.OnlyIfFree = asksForFreeSlot(Entry, Started);
     mesh_answer Answer = co_await runAttempt(Entry, Endpoint, Cancel);
     instant Now = currentTime();
     if (Cancel.raised()) {
@@ -240,12 +249,15 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
-    if (Answer.Superseded) {
+    bool FoundBusy = noteSearch(Entry, Endpoint.Node, Answer, Now);
+    if (Answer.Superseded || (FoundBusy && Entry.Silent->FirstAnswer.isSet())) {
       std::optional<entry_result> First =
           co_await waitForSilentNodes(Entry, Cancel);
       if (First)
         co_return std::move(*First);
     }
+    if (FoundBusy)
+      continue;
     recordServerEnd(Entry, Endpoint, Answer, Now);
     recordNotice(Endpoint, Answer);
     Retries.recordAttempt(Entry, Answer, Now);
@@ -272,6 +284,41 @@
   }
 }
 
+bool entry_router::asksForFreeSlot(const entry_call &Entry, instant Now) {
+  std::size_t Bytes = Entry.Call.Body ? Entry.Call.Body->size() : 0;
+  return !Entry.MayWait && Bytes <= LargeBodyBytes &&
+         Retries.mayAskAnotherNode(Entry) &&
+         FreeSlots.isLikely(Entry.Call.Service, Now);
+}
+
+bool entry_router::noteSearch(entry_call &Entry, const node_id &Node,
+                              const mesh_answer &Answer, instant Now) {
+  if (!Entry.Call.OnlyIfFree)
+    return false;
+  if (Answer.NoFreeSlot || Answer.Status > 0)
+    FreeSlots.record(Entry.Call.Service, !Answer.NoFreeSlot, Now);
+  if (!Answer.NoFreeSlot)
+    return false;
+  Metrics.count("calls_found_no_free_slot");
+  --Entry.Attempts; // the call was only offered
+  Entry.Busy.insert(Node);
+  if (Entry.Busy.size() >= MaxBusyHomeNodes)
+    letWait(Entry);
+  return true;
+}
+
+bool entry_router::endsSearch(const entry_call &Entry,
+                              const endpoint *Next) const {
+  return !Entry.MayWait && !Entry.Busy.empty() &&
+         (!Next || Next->Domain != Settings.Domain);
+}
+
+void entry_router::letWait(entry_call &Entry) {
+  Entry.MayWait = true;
+  for (const node_id &Node : Entry.Busy)
+    Entry.Tried.erase(Node);
+}
+
 microseconds entry_router::addJitter(microseconds RetryAfter) {
   auto Extra =
       static_cast<std::uint64_t>(RetryAfter.count()) * RetryAfterJitterPercent;
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -10,6 +10,7 @@
 #include "mesh/retry_decider.h"
 #include "mesh/usage_limiter.h"
 #include "routing/expected_latency_picker.h"
+#include "routing/free_slot_odds.h"
 #include "routing/hedge_policy.h"
 #include "routing/windowed_retry_budget.h"
 
@@ -114,6 +115,18 @@
   void log(const entry_call &Entry, const endpoint &Endpoint,
            const mesh_answer &Answer, next_step Step, microseconds Took);
   microseconds addJitter(microseconds RetryAfter);
+  /// True if the home node is asked to run the call only if a slot is free,
+  /// since others may have one.
+  bool asksForFreeSlot(const entry_call &Entry, instant Now);
+  /// Learns from the answer of a home node that was asked for a free slot;
+  /// returns whether it had none, so that the call goes on.
+  bool noteSearch(entry_call &Entry, const node_id &Node,
+                  const mesh_answer &Answer, instant Now);
+  /// True if no home node of this failure domain is left to ask. The picker
+  /// then compares the wait here with the way to another domain.
+  bool endsSearch(const entry_call &Entry, const endpoint *Next) const;
+  /// From now on the call waits for a slot, also at home nodes that had none.
+  static void letWait(entry_call &Entry);
 
   asio::io_context &Context;
   const mesh_settings &Settings;
@@ -128,6 +141,7 @@
   expected_latency_picker Picker;
   windowed_retry_budget RetryBudget;
   hedge_policy Hedges;
+  free_slot_odds FreeSlots;
   retry_decider Retries;
   downstream_services Downstream;
   root_admission Roots;
--- a/src/chivebeam/mesh/entry_router_attempt.cpp
+++ b/src/chivebeam/mesh/entry_router_attempt.cpp
@@ -188,11 +188,12 @@
   if (HasLoad)
     Observed.Load = Answer.Load;
   bool IsFull = Answer.Outcome == attempt_outcome::not_sent &&
-                !Answer.Unreachable && Answer.Load.Limit > 0;
+                !Answer.Unreachable && !Answer.BeyondShare &&
+                Answer.Load.Limit > 0;
   if (IsFull)
     Observed.RetryAfter = Answer.RetryAfter;
-  unsigned Rank = Entry.Call.rank();
-  Observed.Urgency = Answer.BeyondShare ? lowestRankBeside(Rank) : Rank;
+  Observed.Urgency = Entry.Call.rank();
+  Observed.NoFreeSlot = Answer.NoFreeSlot;
   Observed.LargeBody =
       Entry.Call.Body && Entry.Call.Body->size() > LargeBodyBytes;
   if (Answer.Outcome == attempt_outcome::answered)
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -127,7 +127,7 @@
 void home_runner::refuse(const job &Job, std::string Reason) {
   mesh_answer Answer =
       refusal(Queue.excessWait(Job.Slot, currentTime()), std::move(Reason));
-  Answer.BeyondShare = Job.BeyondShare;
+  Answer.BeyondShare = Job.Slot.BeyondShare;
   finish(Job, std::move(Answer));
 }
 
@@ -203,10 +203,16 @@
     co_return refuse(*Job, "the backend server can't be reached");
   Queue.recordRefusedAtEntry(Call.rank(), Call.RefusedAtEntry, Now);
   applyKnownLimit(Call, Now);
+  if (Call.OnlyIfFree && !Queue.hasFreeSlot(Now)) {
+    mesh_answer Answer =
+        emptyAnswer(attempt_outcome::not_sent, "no slot is free now");
+    Answer.NoFreeSlot = true;
+    co_return finish(*Job, std::move(Answer));
+  }
   if (!Shares.countCall(Call.Workspace, Now)) {
     ++CallsBeyondShares;
-    Job->BeyondShare = true;
-    Job->Slot.Urgency = lowestRankBeside(Job->Slot.Urgency);
+    Job->Slot.BeyondShare = true;
+    Job->Slot.Urgency = Shares.rankBeyondShare(Call.Workspace);
   }
   slot_decision Answer = Queue.arrive(Job->Slot, Now);
   if (Answer == slot_decision::refuse)
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -104,7 +104,6 @@
     cancel_signal Cancel;
     reply Reply;
     slot_request Slot;
-    bool BeyondShare = false; ///< of its workspace
   };
   using job_ptr = std::shared_ptr<job>;
 
--- a/src/chivebeam/mesh/mesh_call.h
+++ b/src/chivebeam/mesh/mesh_call.h
@@ -44,6 +44,9 @@
   unsigned RefusedAtEntry = 0;
   /// True if this call or its parent call was sent before.
   bool IsRetry = false;
+  /// True if the call must not wait for a slot: the home node runs it at once,
+  /// or says that no slot is free.
+  bool OnlyIfFree = false;
   bool Nested = false; ///< sent by a backend server while it runs another call
   /// Usual run time of such calls as the entry node has seen it; zero if
   /// unknown.
@@ -82,6 +85,8 @@
   /// True if the call was refused after its workspace sent more than its share;
   /// other calls of the same rank may be taken.
   bool BeyondShare = false;
+  /// True if the call was not run because it was not to wait for a slot.
+  bool NoFreeSlot = false;
   std::string Reason;       ///< why there is no answer; written to the log
   bool Unreachable = false; ///< true if the home node could not be reached
   /// True if the home node is only silent, so that the answer may still come.
--- a/src/chivebeam/mesh/retry_decider.cpp
+++ b/src/chivebeam/mesh/retry_decider.cpp
@@ -95,7 +95,9 @@
   }
   Entry.HomeNodesAsked += Answer.Unreachable ? 0 : 1;
   Entry.View = State.view() ? State.view() : Entry.View;
-  Entry.History.UntriedServerLeft = mayAskAnotherNode(Entry);
+  // In a shortage, the excess of a workspace must not load further nodes.
+  Entry.History.UntriedServerLeft =
+      !Answer.BeyondShare && mayAskAnotherNode(Entry);
   Entry.History.TimeLeft = hasTimeForAttempt(Entry, Now);
 }
 
--- a/src/chivebeam/mesh/retry_decider.h
+++ b/src/chivebeam/mesh/retry_decider.h
@@ -29,6 +29,9 @@
   /// its route is measured.
   microseconds usualTime(const entry_call &Entry, const endpoint &Endpoint,
                          instant Now) const;
+  /// True if a home node is left that this call has not asked, and the call may
+  /// ask one more.
+  bool mayAskAnotherNode(const entry_call &Entry) const;
 
 private:
   /// False if another attempt would fail as well, or would overload the
@@ -37,9 +40,6 @@
                      instant Now) const;
   /// True if another attempt can end before the deadline.
   bool hasTimeForAttempt(const entry_call &Entry, instant Now) const;
-  /// True if a home node is left that this call has not asked, and the call may
-  /// ask one more.
-  bool mayAskAnotherNode(const entry_call &Entry) const;
 
   const mesh_state &State;
   const expected_latency_picker &Picker;
--- a/src/chivebeam/wire/call_wire.cpp
+++ b/src/chivebeam/wire/call_wire.cpp
@@ -111,6 +111,8 @@
   if (Call.WorkspacePriority > 0)
     Out.__set_workspace_priority(
         static_cast<std::int32_t>(Call.WorkspacePriority));
+  if (Call.OnlyIfFree)
+    Out.__set_only_if_free(true);
   return Out;
 }
 
@@ -142,6 +144,7 @@
     Call.Workspace = workspace_name(std::move(In.workspace));
   if (In.__isset.workspace_priority)
     Call.WorkspacePriority = toCount(In.workspace_priority);
+  Call.OnlyIfFree = In.__isset.only_if_free && In.only_if_free;
   return Call;
 }
 
@@ -158,6 +161,8 @@
     Out.__set_ended_born_ms(Answer.EndedServer->StartedAtMs);
   if (Answer.BeyondShare)
     Out.__set_beyond_share(true);
+  if (Answer.NoFreeSlot)
+    Out.__set_no_free_slot(true);
   return Out;
 }
 
@@ -179,6 +184,7 @@
   if (In.__isset.ended_born_ms)
     Answer.EndedServer = worker_start{worker_id(), In.ended_born_ms};
   Answer.BeyondShare = In.__isset.beyond_share && In.beyond_share;
+  Answer.NoFreeSlot = In.__isset.no_free_slot && In.no_free_slot;
   return Answer;
 }
 
--- a/src/libchivebeam/routing/expected_latency_picker.cpp
+++ b/src/libchivebeam/routing/expected_latency_picker.cpp
@@ -157,7 +157,7 @@
                                         instant Now) const {
   if (hasRefusedSimilar(Server, Needs, Now))
     return false;
-  if (Now >= Server.ReportedAt + FreshLoadTime)
+  if (Now >= Server.JudgedUntil)
     return true;
   if (Micros <= static_cast<double>(Needs.GoalLeft.count()))
     return true;
@@ -238,6 +238,8 @@
     Server.OpenAtReport = Server.Open;
     Server.StartedSinceReport = 0;
     Server.ReportedAt = Now;
+    // A call that may wait is decided by the home node, which knows its queue.
+    Server.JudgedUntil = Observation.NoFreeSlot ? Now : Now + FreshLoadTime;
   }
   if (Observation.RetryAfter.count() > 0) {
     refusal_record &Known =
--- a/src/libchivebeam/routing/expected_latency_picker.h
+++ b/src/libchivebeam/routing/expected_latency_picker.h
@@ -78,6 +78,8 @@
     unsigned OpenAtReport = 0;
     unsigned StartedSinceReport = 0; ///< calls of this node
     instant ReportedAt;
+    /// Until then, Load decides whether the server may accept a call.
+    instant JudgedUntil;
     /// Duration of a call relative to the usual one of its route.
     double Slowness = 1;
     decaying_ratio Failures{FailureHalfLife};
--- a/src/libchivebeam/routing/fair_shares.cpp
+++ b/src/libchivebeam/routing/fair_shares.cpp
@@ -1,5 +1,7 @@
 #include "routing/fair_shares.h"
 
+#include "routing/call_rank.h"
+
 namespace chivebeam {
 
 namespace {
@@ -21,17 +23,19 @@
     return Found == All.end() || !Found->second.Cap.isLimited();
   });
   for (const auto &[Name, Workspace] : All)
-    if (Workspace.Cap.isLimited())
+    if (Workspace.Cap.isLimited()) {
       Capped[Name].Share = Workspace.Cap.RatePerSecond / Sum;
+      Capped[Name].Priority = Workspace.Priority;
+    }
 }
 
 bool fair_shares::countCall(const workspace_name &Workspace, instant Now) {
   auto Found = Capped.find(Workspace);
   if (Found == Capped.end())
     return true;
-  auto &[Share, Rate] = Found->second;
-  double Bound =
-      Share * Total.perSecond(Now) * ToleratedFactor + ToleratedCallsPerSecond;
+  decaying_rate &Rate = Found->second.Rate;
+  double Bound = Found->second.Share * Total.perSecond(Now) * ToleratedFactor +
+                 ToleratedCallsPerSecond;
   if (Rate.perSecond(Now) > Bound)
     return false;
   Rate.add(1, Now);
@@ -39,4 +43,10 @@
   return true;
 }
 
+unsigned fair_shares::rankBeyondShare(const workspace_name &Workspace) const {
+  auto Found = Capped.find(Workspace);
+  return lowestRankBeside(
+      rankOf(Found == Capped.end() ? 0 : Found->second.Priority, 0));
+}
+
 } // namespace chivebeam
--- a/src/libchivebeam/routing/fair_shares.h
+++ b/src/libchivebeam/routing/fair_shares.h
@@ -20,12 +20,16 @@
   /// Counts a call; returns whether it is within its workspace's share. A call
   /// of a workspace without a usage cap always is.
   bool countCall(const workspace_name &Workspace, instant Now);
+  /// Returns the rank of the calls in excess: the lowest of the priority of the
+  /// workspace, also for calls that would have been promoted.
+  unsigned rankBeyondShare(const workspace_name &Workspace) const;
 
 private:
   static constexpr microseconds HalfLife{2'000'000};
 
   struct capped_workspace {
-    double Share = 0;             ///< fraction of all calls
+    double Share = 0; ///< fraction of all calls
+    unsigned Priority = 0;
     decaying_rate Rate{HalfLife}; ///< of calls within the share
   };
   std::map<workspace_name, capped_workspace> Capped;
--- a/src/libchivebeam/routing/picking_policy.h
+++ b/src/libchivebeam/routing/picking_policy.h
@@ -30,6 +30,8 @@
   microseconds RetryAfter{0};
   unsigned Urgency = 0;
   bool LargeBody = false;
+  /// True if the call was not run because it was not to wait for a slot.
+  bool NoFreeSlot = false;
 };
 
 /// Chooses the backend server for each call and learns from the results of
--- a/src/libchivebeam/routing/refusal_ratios.h
+++ b/src/libchivebeam/routing/refusal_ratios.h
@@ -44,7 +44,12 @@
   explicit refusal_counter(microseconds HalfLife) : HalfLife(HalfLife) {}
 
   void record(unsigned Urgency, bool Refused, instant Now) {
-    Ratios.try_emplace(Urgency, HalfLife).first->second.record(Refused, Now);
+    if (Ratios.size() >= MaxUrgencies && !Ratios.contains(Urgency))
+      std::erase_if(Ratios, [&](const auto &Item) {
+        return Item.second.weight(Now) < 1;
+      });
+    if (Ratios.size() < MaxUrgencies || Ratios.contains(Urgency))
+      Ratios.try_emplace(Urgency, HalfLife).first->second.record(Refused, Now);
   }
   /// Returns the ratios above zero; an urgency without a ratio has none.
   refusal_ratios ratios(instant Now) const {
@@ -61,6 +66,8 @@
   /// Bounds the size of the load report, which is sent with every answer
   /// between nodes.
   static constexpr std::size_t MaxRatios = 12;
+  /// Bounds the memory for urgencies, which come and go with configurations.
+  static constexpr std::size_t MaxUrgencies = 64;
 
   microseconds HalfLife;
   std::map<unsigned, decaying_ratio> Ratios;
--- a/src/libchivebeam/routing/slot_queue.cpp
+++ b/src/libchivebeam/routing/slot_queue.cpp
@@ -117,13 +117,12 @@
 }
 
 bool slot_queue::wouldAccept(const slot_request &Request, instant Now) const {
-  bool Free = mayStart(Now) && Waiting.empty();
-  return Free ? !cannotMeetDeadline(Request, Now)
-              : Slots > 0 && canAccept(Request, Now);
+  return hasFreeSlot(Now) ? !cannotMeetDeadline(Request, Now)
+                          : Slots > 0 && canAccept(Request, Now);
 }
 
 slot_decision slot_queue::arrive(const slot_request &Request, instant Now) {
-  if (mayStart(Now) && Waiting.empty() && !cannotMeetDeadline(Request, Now)) {
+  if (hasFreeSlot(Now) && !cannotMeetDeadline(Request, Now)) {
     callStarted(Now);
     recordRefusal(Request, false, Now);
     return slot_decision::run;
@@ -143,7 +142,7 @@
 
 void slot_queue::recordRefusal(const slot_request &Request, bool Refused,
                                instant Now) {
-  if (!Request.Nested)
+  if (!Request.Nested && !Request.BeyondShare)
     Refusals.record(Request.Urgency, Refused, Now);
 }
 
--- a/src/libchivebeam/routing/slot_queue.h
+++ b/src/libchivebeam/routing/slot_queue.h
@@ -22,6 +22,9 @@
   instant Goal;         ///< answers after it are worth less
   instant Deadline;     ///< answers after it are useless
   microseconds UsualDuration{0}; ///< of such calls elsewhere; zero: unknown
+  /// True if its workspace has sent more than its share. A refusal of the call
+  /// tells nothing about other calls, so it is not counted.
+  bool BeyondShare = false;
 };
 
 enum class slot_decision {
@@ -60,6 +63,10 @@
   std::size_t waiting() const { return Waiting.size(); }
 
   slot_decision arrive(const slot_request &Request, instant Now);
+  /// Returns whether a call that arrives now need not wait.
+  bool hasFreeSlot(instant Now) const {
+    return mayStart(Now) && Waiting.empty();
+  }
   /// Returns whether the call would be accepted if it arrived now.
   bool wouldAccept(const slot_request &Request, instant Now) const;
   /// Returns the time that the call would wait and run.
--- a/src/protocol/chivebeam.thrift
+++ b/src/protocol/chivebeam.thrift
@@ -198,6 +198,9 @@
   19: optional string workspace
   // Priority of the workspace for this call; absent if it is zero.
   20: optional i32 workspace_priority
+  // True if the call is only run if a slot is free, since the entry node knows
+  // other backend servers that may have one.
+  21: optional bool only_if_free
 }
 
 struct call_answer {
@@ -213,6 +216,9 @@
   // True if the call was refused because its workspace had sent more than its
   // share.
   9: optional bool beyond_share
+  // True if the call was not run because no slot was free and it was not to
+  // wait.
+  10: optional bool no_free_slot
 }
 
 // The end of a backend server while it ran a call; without a worker, the
--- a/src/protocol/gen/chivebeam_types.cpp
+++ b/src/protocol/gen/chivebeam_types.cpp
@@ -3430,6 +3430,11 @@
   this->workspace_priority = val;
 __isset.workspace_priority = true;
 }
+
+void call_request::__set_only_if_free(const bool val) {
+  this->only_if_free = val;
+__isset.only_if_free = true;
+}
 std::ostream& operator<<(std::ostream& out, const call_request& obj)
 {
   obj.printTo(out);
@@ -3630,6 +3635,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->only_if_free);
+          this->__isset.only_if_free = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3738,6 +3751,11 @@
     xfer += oprot->writeI32(this->workspace_priority);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.only_if_free) {
+    xfer += oprot->writeFieldBegin("only_if_free", ::apache::thrift::protocol::T_BOOL, 21);
+    xfer += oprot->writeBool(this->only_if_free);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3765,6 +3783,7 @@
   swap(a.rate_limit, b.rate_limit);
   swap(a.workspace, b.workspace);
   swap(a.workspace_priority, b.workspace_priority);
+  swap(a.only_if_free, b.only_if_free);
   swap(a.__isset, b.__isset);
 }
 
@@ -3789,6 +3808,7 @@
   rate_limit = other88.rate_limit;
   workspace = other88.workspace;
   workspace_priority = other88.workspace_priority;
+  only_if_free = other88.only_if_free;
   __isset = other88.__isset;
 }
 call_request& call_request::operator=(const call_request& other89) {
@@ -3812,6 +3832,7 @@
   rate_limit = other89.rate_limit;
   workspace = other89.workspace;
   workspace_priority = other89.workspace_priority;
+  only_if_free = other89.only_if_free;
   __isset = other89.__isset;
   return *this;
 }
@@ -3838,6 +3859,7 @@
   out << ", " << "rate_limit="; (__isset.rate_limit ? (out << to_string(rate_limit)) : (out << "<null>"));
   out << ", " << "workspace="; (__isset.workspace ? (out << to_string(workspace)) : (out << "<null>"));
   out << ", " << "workspace_priority="; (__isset.workspace_priority ? (out << to_string(workspace_priority)) : (out << "<null>"));
+  out << ", " << "only_if_free="; (__isset.only_if_free ? (out << to_string(only_if_free)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3883,6 +3905,11 @@
   this->beyond_share = val;
 __isset.beyond_share = true;
 }
+
+void call_answer::__set_no_free_slot(const bool val) {
+  this->no_free_slot = val;
+__isset.no_free_slot = true;
+}
 std::ostream& operator<<(std::ostream& out, const call_answer& obj)
 {
   obj.printTo(out);
@@ -3995,6 +4022,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->no_free_slot);
+          this->__isset.no_free_slot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4058,6 +4093,11 @@
     xfer += oprot->writeBool(this->beyond_share);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.no_free_slot) {
+    xfer += oprot->writeFieldBegin("no_free_slot", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->no_free_slot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4074,6 +4114,7 @@
   swap(a.ran_us, b.ran_us);
   swap(a.ended_born_ms, b.ended_born_ms);
   swap(a.beyond_share, b.beyond_share);
+  swap(a.no_free_slot, b.no_free_slot);
   swap(a.__isset, b.__isset);
 }
 
@@ -4087,6 +4128,7 @@
   ran_us = other96.ran_us;
   ended_born_ms = other96.ended_born_ms;
   beyond_share = other96.beyond_share;
+  no_free_slot = other96.no_free_slot;
   __isset = other96.__isset;
 }
 call_answer& call_answer::operator=(const call_answer& other97) {
@@ -4099,6 +4141,7 @@
   ran_us = other97.ran_us;
   ended_born_ms = other97.ended_born_ms;
   beyond_share = other97.beyond_share;
+  no_free_slot = other97.no_free_slot;
   __isset = other97.__isset;
   return *this;
 }
@@ -4114,6 +4157,7 @@
   out << ", " << "ran_us=" << to_string(ran_us);
   out << ", " << "ended_born_ms="; (__isset.ended_born_ms ? (out << to_string(ended_born_ms)) : (out << "<null>"));
   out << ", " << "beyond_share="; (__isset.beyond_share ? (out << to_string(beyond_share)) : (out << "<null>"));
+  out << ", " << "no_free_slot="; (__isset.no_free_slot ? (out << to_string(no_free_slot)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/chivebeam_types.h
+++ b/src/protocol/gen/chivebeam_types.h
@@ -1350,7 +1350,7 @@
 std::ostream& operator<<(std::ostream& out, const home_record& obj);
 
 typedef struct _call_request__isset {
-  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false), fingerprint(false), rate_limit(false), workspace(false), workspace_priority(false) {}
+  _call_request__isset() : id(false), service_name(false), route(false), worker(false), method(false), target(false), fields(false), time_left_us(false), goal_left_us(false), urgency(false), idempotent(false), nested(false), unasked(false), repeat(false), usual_us(false), offered_bytes(false), fingerprint(false), rate_limit(false), workspace(false), workspace_priority(false), only_if_free(false) {}
   bool id :1;
   bool service_name :1;
   bool route :1;
@@ -1371,6 +1371,7 @@
   bool rate_limit :1;
   bool workspace :1;
   bool workspace_priority :1;
+  bool only_if_free :1;
 } _call_request__isset;
 
 class call_request : public virtual ::apache::thrift::TBase {
@@ -1397,7 +1398,8 @@
                  fingerprint(0),
                  rate_limit(0),
                  workspace(),
-                 workspace_priority(0) {
+                 workspace_priority(0),
+                 only_if_free(0) {
   }
 
   virtual ~call_request() noexcept;
@@ -1421,6 +1423,7 @@
   double rate_limit;
   std::string workspace;
   int32_t workspace_priority;
+  bool only_if_free;
 
   _call_request__isset __isset;
 
@@ -1464,6 +1467,8 @@
 
   void __set_workspace_priority(const int32_t val);
 
+  void __set_only_if_free(const bool val);
+
   bool operator == (const call_request & rhs) const
   {
     if (!(id == rhs.id))
@@ -1512,6 +1517,10 @@
       return false;
     else if (__isset.workspace_priority && !(workspace_priority == rhs.workspace_priority))
       return false;
+    if (__isset.only_if_free != rhs.__isset.only_if_free)
+      return false;
+    else if (__isset.only_if_free && !(only_if_free == rhs.only_if_free))
+      return false;
     return true;
   }
   bool operator != (const call_request &rhs) const {
@@ -1531,7 +1540,7 @@
 std::ostream& operator<<(std::ostream& out, const call_request& obj);
 
 typedef struct _call_answer__isset {
-  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false), ran_us(false), ended_born_ms(false), beyond_share(false) {}
+  _call_answer__isset() : outcome(false), status(false), fields(false), load(false), wait_us(false), reason(false), ran_us(false), ended_born_ms(false), beyond_share(false), no_free_slot(false) {}
   bool outcome :1;
   bool status :1;
   bool fields :1;
@@ -1541,6 +1550,7 @@
   bool ran_us :1;
   bool ended_born_ms :1;
   bool beyond_share :1;
+  bool no_free_slot :1;
 } _call_answer__isset;
 
 class call_answer : public virtual ::apache::thrift::TBase {
@@ -1555,7 +1565,8 @@
                 reason(),
                 ran_us(0),
                 ended_born_ms(0),
-                beyond_share(0) {
+                beyond_share(0),
+                no_free_slot(0) {
   }
 
   virtual ~call_answer() noexcept;
@@ -1568,6 +1579,7 @@
   int64_t ran_us;
   int64_t ended_born_ms;
   bool beyond_share;
+  bool no_free_slot;
 
   _call_answer__isset __isset;
 
@@ -1589,6 +1601,8 @@
 
   void __set_beyond_share(const bool val);
 
+  void __set_no_free_slot(const bool val);
+
   bool operator == (const call_answer & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -1613,6 +1627,10 @@
       return false;
     else if (__isset.beyond_share && !(beyond_share == rhs.beyond_share))
       return false;
+    if (__isset.no_free_slot != rhs.__isset.no_free_slot)
+      return false;
+    else if (__isset.no_free_slot && !(no_free_slot == rhs.no_free_slot))
+      return false;
     return true;
   }
   bool operator != (const call_answer &rhs) const {
--- a/tests/routing/fair_shares_test.cpp
+++ b/tests/routing/fair_shares_test.cpp
@@ -69,7 +69,7 @@
     Request.Goal = Now + milliseconds(500);
     Request.Deadline = Now + milliseconds(1'500);
     bool Within = Fair.countCall(nameOf(Workspace), Now);
-    Request.Urgency = Within ? 0 : lowestRankBeside(0);
+    Request.Urgency = Within ? 0 : Fair.rankBeyondShare(nameOf(Workspace));
     ++Counts[Workspace].Sent;
     Requests.push_back({Request, Workspace});
     if (Queue.arrive(Request, Now) == slot_decision::run)
