Bound the run time of second copies, not only their number

Cause: the limit for hedged requests is meant as a share of extra work, but only the number of copies was bounded; long copies cost more than their share. The entry router notes the run time of each attempt, sends the copy to the server whose load was checked, and shows copies that won and both run times as metrics.

--- a/src/chivebeam/mesh/entry_call.h
+++ b/src/chivebeam/mesh/entry_call.h
@@ -1,14 +1,23 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 
 #include "config/api_key.h"
 #include "mesh/silent_attempts.h"
+#include "routing/hedge_policy.h"
 #include "routing/retry_policy.h"
 
 namespace chivebeam {
 
+/// A second copy of a call from the decision to send it until its end.
+struct open_copy {
+  hedge_copy Copy;
+  endpoint Target;
+  std::optional<instant> SentAt; ///< empty before it is sent
+};
+
 /// A call with its routing decisions and attempts.
 struct entry_call {
   fleet_view_ptr View;
@@ -26,6 +35,7 @@
   unsigned HomeNodesAsked = 0;
   instant ArrivedAt;
   std::shared_ptr<silent_attempts> Silent;
+  std::optional<open_copy> Copy;
   /// Ends what the call waits for, without a result; empty while it does not
   /// wait.
   std::function<void()> Abandon;
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -110,11 +110,12 @@
   if (!admit(Entry, Now))
     co_return refuseAtEntry(Entry, "a downstream service is overloaded");
   if (isHedgeable(Entry))
-    Hedges.callStarted();
+    Hedges.callStarted(Entry.Call.Route);
   OpenCalls.insert(&Entry);
   Entry.Silent = std::make_shared<silent_attempts>(Context.get_executor());
   entry_result Result = co_await runAttempts(Entry, Cancel);
   Entry.Silent->cancel();
+  endCopy(Entry, std::nullopt, currentTime());
   OpenCalls.erase(&Entry);
   co_return Result;
 }
@@ -221,7 +222,9 @@
       co_return endAtEntry(Entry, "the API key of the caller was removed");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
-    const endpoint *Chosen = choose(Entry, Started);
+    bool SendsCopy = Entry.Copy && !Entry.Copy->SentAt;
+    const endpoint *Chosen =
+        SendsCopy ? &Entry.Copy->Target : choose(Entry, Started);
     if (!Chosen) {
       std::optional<entry_result> Late =
           co_await waitForSilentNodes(Entry, Cancel);
@@ -233,6 +236,8 @@
     endpoint Endpoint = *Chosen;
     Entry.Tried.insert(Endpoint.Node);
     ++Entry.Attempts;
+    if (SendsCopy)
+      Entry.Copy->SentAt = Started;
     mesh_answer Answer = co_await runAttempt(Entry, Endpoint, Cancel);
     instant Now = currentTime();
     if (Cancel.raised()) {
@@ -240,6 +245,7 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
+    recordWork(Entry, Endpoint, Answer, Now);
     if (Answer.Superseded) {
       std::optional<entry_result> First =
           co_await waitForSilentNodes(Entry, Cancel);
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -65,6 +65,8 @@
   /// with what is known of it. Returns how many were ended.
   std::size_t endOpenCalls(instant LastAnswer);
   std::size_t openCalls() const { return OpenCalls.size(); }
+  /// Sets the gauges of hedged requests, if they are enabled.
+  void updateMetrics();
   downstream_services &downstream() { return Downstream; }
 
 private:
@@ -109,6 +111,13 @@
   awaitAnswer(entry_call &Entry, one_shot<mesh_answer> Pending, instant Now);
   /// True if a second copy of the call is to be sent now. Uses the budget.
   bool takeHedge(entry_call &Entry, instant Now);
+  /// Notes the run time of an attempt that has ended.
+  void recordWork(entry_call &Entry, const endpoint &Endpoint,
+                  const mesh_answer &Answer, instant Now);
+  /// Notes the end of the call's second copy, if one is open. Without a run
+  /// time, the time since it was sent counts.
+  void endCopy(entry_call &Entry, std::optional<microseconds> RunTime,
+               instant Now);
   void recordLatency(const entry_call &Entry, instant Now);
   entry_result finish(entry_call &Entry, next_step Step, mesh_answer Answer);
   void log(const entry_call &Entry, const endpoint &Endpoint,
--- a/src/chivebeam/mesh/entry_router_attempt.cpp
+++ b/src/chivebeam/mesh/entry_router_attempt.cpp
@@ -55,6 +55,7 @@
     co_return std::nullopt;
   recordNotice(Silent->AnsweredBy, *Answer);
   recordLatency(Entry, currentTime());
+  recordWork(Entry, Silent->AnsweredBy, *Answer, currentTime());
   log(Entry, Silent->AnsweredBy, *Answer, next_step::deliver,
       currentTime() - Started);
   co_return finish(Entry, next_step::deliver, std::move(*Answer));
@@ -137,14 +138,56 @@
 bool entry_router::isHedgeable(const entry_call &Entry) const {
   // Hedging at one layer of a call tree only: copies of nested calls would
   // multiply with those of their parents.
-  return Hedges.isEnabled() && Entry.Call.Idempotent && !Entry.Call.Nested;
+  return Hedges.isEnabled(Entry.Call.Route) && Entry.Call.Idempotent &&
+         !Entry.Call.Nested;
 }
 
 bool entry_router::takeHedge(entry_call &Entry, instant Now) {
   if (isEnding(Entry) || LastAnswerAt || !Retries.mayMoveOn(Entry, Now))
     return false;
   const endpoint *Target = choose(Entry, Now);
-  return Target && Hedges.takeHedge(Picker.recentLoad(*Target, Now));
+  if (!Target)
+    return false;
+  hedge_copy Copy{Entry.Call.Route, Retries.usualTime(Entry, *Target, Now)};
+  if (!Hedges.takeHedge(Copy, Picker.recentLoad(*Target, Now), Now))
+    return false;
+  Entry.Copy = open_copy{std::move(Copy), *Target, std::nullopt};
+  return true;
+}
+
+void entry_router::recordWork(entry_call &Entry, const endpoint &Endpoint,
+                              const mesh_answer &Answer, instant Now) {
+  if (!isHedgeable(Entry) || Answer.Hedged || Answer.Silent)
+    return;
+  bool HasRunTime = Answer.RunTime.count() > 0;
+  if (!Entry.Copy || Entry.Copy->Target.Node != Endpoint.Node) {
+    Hedges.recordWork(Entry.Call.Route, Answer.RunTime, Now);
+    return;
+  }
+  if (Answer.Outcome == attempt_outcome::answered)
+    Metrics.count("hedges_won");
+  bool HasNoTime = !HasRunTime && Answer.Outcome != attempt_outcome::not_sent;
+  endCopy(Entry, HasNoTime ? std::nullopt : std::optional(Answer.RunTime), Now);
+}
+
+void entry_router::endCopy(entry_call &Entry,
+                           std::optional<microseconds> RunTime, instant Now) {
+  if (!Entry.Copy)
+    return;
+  microseconds Since =
+      Entry.Copy->SentAt ? Now - *Entry.Copy->SentAt : microseconds(0);
+  Hedges.copyEnded(Entry.Copy->Copy, RunTime.value_or(Since), Now);
+  Entry.Copy.reset();
+}
+
+void entry_router::updateMetrics() {
+  if (!Hedges.isEnabled())
+    return;
+  auto Seconds = [](microseconds Time) {
+    return std::chrono::duration<double>(Time).count();
+  };
+  Metrics.set("hedge_base_seconds", Seconds(Hedges.baseWork()));
+  Metrics.set("hedge_extra_seconds", Seconds(Hedges.extraWork()));
 }
 
 awaitable<std::optional<mesh_answer>>
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -371,6 +371,7 @@
               static_cast<double>(Home.connectionsOpened()));
   Metrics.set("server_cold", Home.isServerCold() ? 1 : 0);
   Home.notices().updateMetrics(Metrics, Now);
+  Router.updateMetrics();
   Metrics.set("log_lines_dropped",
               static_cast<double>(log_writer::instance().dropped()));
   return Metrics.text();
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -43,6 +43,8 @@
   result<void> start(stop_handler OnStopped);
   /// Starts a graceful stop, as SIGTERM does.
   void beginStop();
+  /// Returns all metrics in the Prometheus text format.
+  std::string metricsText();
   const mesh_settings &settings() const { return Settings; }
   /// True if this node reads the operator's documents from the store although
   /// it is no watcher.
@@ -86,7 +88,6 @@
   /// True while calls run, or requests or answers are not transferred
   /// completely.
   bool hasWork() const;
-  std::string metricsText();
 
   mesh_settings Settings;
   mesh_dependencies Dependencies;
