Merge limits and measures of hedged requests

Change: copies are bounded by their share of the run time as well as of the calls, by route if wanted; a copy runs only if a slot is free. Result: test_routing, test_platform and the suites workspaces, free_slot, hedging and calls of test_mesh pass.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -52,6 +52,7 @@
     return;
   Picker.removeAbsent(*State.view());
   Preparer.keepOnly(State.view()->Config->routes());
+  checkHedgeRoutes();
 }
 
 route_check entry_router::checkRoute(const std::string &Host,
@@ -114,11 +115,20 @@
   if (!admit(Entry, Now))
     co_return refuseAtEntry(Entry, "a downstream service is overloaded");
   if (isHedgeable(Entry))
-    Hedges.callStarted();
+    Hedges.callStarted(Entry.Call.Route);
   OpenCalls.insert(&Entry);
   Entry.Silent = std::make_shared<silent_attempts>(Context.get_executor());
+  // If a call crashes servers, the end of each counts, also of one whose copy
+  // is waited for.
+  if (isHedgeable(Entry))
+    Entry.Silent->OnEnded =
+        [&State = State, Fingerprint = Entry.Call.Fingerprint](
+            const endpoint &Endpoint, const mesh_answer &Answer) {
+          recordServerEnd(State, Fingerprint, Endpoint, Answer, currentTime());
+        };
   entry_result Result = co_await runAttempts(Entry, Cancel);
   Entry.Silent->cancel();
+  endCopy(Entry, std::nullopt, currentTime());
   OpenCalls.erase(&Entry);
   co_return Result;
 }
@@ -149,11 +159,12 @@
   return true;
 }
 
-void entry_router::recordServerEnd(const entry_call &Entry,
+void entry_router::recordServerEnd(mesh_state &State,
+                                   call_fingerprint Fingerprint,
                                    const endpoint &Endpoint,
                                    const mesh_answer &Answer, instant Now) {
   if (Answer.EndedServer)
-    State.suspectsObserved({{Entry.Call.Fingerprint,
+    State.suspectsObserved({{Fingerprint,
                              {Endpoint.Worker, Answer.EndedServer->StartedAtMs},
                              Now}});
 }
@@ -225,8 +236,10 @@
       co_return endAtEntry(Entry, "the API key of the caller was removed");
     if (isQuarantined(Entry, Started))
       co_return endAtEntry(Entry, "the call crashes backend servers");
-    const endpoint *Chosen = choose(Entry, Started);
-    if (endsSearch(Entry, Chosen)) {
+    bool SendsCopy = Entry.Copy && !Entry.Copy->SentAt;
+    const endpoint *Chosen =
+        SendsCopy ? &Entry.Copy->Target : choose(Entry, Started);
+    if (!SendsCopy && endsSearch(Entry, Chosen)) {
       letWait(Entry);
       continue;
     }
@@ -241,7 +254,10 @@
     endpoint Endpoint = *Chosen;
     Entry.Tried.insert(Endpoint.Node);
     ++Entry.Attempts;
-    Entry.Call.OnlyIfFree = asksForFreeSlot(Entry, Started);
+    if (SendsCopy)
+      Entry.Copy->SentAt = Started;
+    // A copy must not wait in a queue that others need.
+    Entry.Call.OnlyIfFree = SendsCopy || asksForFreeSlot(Entry, Started);
     mesh_answer Answer = co_await runAttempt(Entry, Endpoint, Cancel);
     instant Now = currentTime();
     if (Cancel.raised()) {
@@ -249,8 +265,10 @@
       co_return entry_result{entry_result::kind::caller_gone, {}, {}, {}};
     }
     recordObservation(Entry, Endpoint, Answer, Now - Started, Now);
+    recordWork(Entry, Endpoint, Answer, Now);
     bool FoundBusy = noteSearch(Entry, Endpoint.Node, Answer, Now);
-    if (Answer.Superseded || (FoundBusy && Entry.Silent->FirstAnswer.isSet())) {
+    if (Answer.Superseded ||
+        (FoundBusy && (SendsCopy || Entry.Silent->FirstAnswer.isSet()))) {
       std::optional<entry_result> First =
           co_await waitForSilentNodes(Entry, Cancel);
       if (First)
@@ -258,7 +276,7 @@
     }
     if (FoundBusy)
       continue;
-    recordServerEnd(Entry, Endpoint, Answer, Now);
+    recordServerEnd(State, Entry.Call.Fingerprint, Endpoint, Answer, Now);
     recordNotice(Endpoint, Answer);
     Retries.recordAttempt(Entry, Answer, Now);
     next_step Step = decideNext(Answer.Outcome, Entry.History, [&] {
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -66,6 +66,8 @@
   /// with what is known of it. Returns how many were ended.
   std::size_t endOpenCalls(instant LastAnswer);
   std::size_t openCalls() const { return OpenCalls.size(); }
+  /// Sets the gauges of hedged requests, if they are enabled.
+  void updateMetrics();
   downstream_services &downstream() { return Downstream; }
 
 private:
@@ -85,8 +87,9 @@
   /// Sets its retry time then.
   bool isQuarantined(entry_call &Entry, instant Now);
   /// Notes that the backend server ended while it ran the call.
-  void recordServerEnd(const entry_call &Entry, const endpoint &Endpoint,
-                       const mesh_answer &Answer, instant Now);
+  static void recordServerEnd(mesh_state &State, call_fingerprint Fingerprint,
+                              const endpoint &Endpoint,
+                              const mesh_answer &Answer, instant Now);
   /// Notes what the backend server says about itself in an answer.
   void recordNotice(const endpoint &Endpoint, const mesh_answer &Answer);
   /// True if the call is ended before its deadline.
@@ -110,7 +113,16 @@
   awaitAnswer(entry_call &Entry, one_shot<mesh_answer> Pending, instant Now);
   /// True if a second copy of the call is to be sent now. Uses the budget.
   bool takeHedge(entry_call &Entry, instant Now);
+  /// Notes the run time of an attempt that has ended.
+  void recordWork(entry_call &Entry, const endpoint &Endpoint,
+                  const mesh_answer &Answer, instant Now);
+  /// Notes the end of the call's second copy, if one is open. Without a run
+  /// time, the time since it was sent counts.
+  void endCopy(entry_call &Entry, std::optional<microseconds> RunTime,
+               instant Now);
   void recordLatency(const entry_call &Entry, instant Now);
+  /// Logs routes with a limit for copies that the configuration doesn't have.
+  void checkHedgeRoutes();
   entry_result finish(entry_call &Entry, next_step Step, mesh_answer Answer);
   void log(const entry_call &Entry, const endpoint &Endpoint,
            const mesh_answer &Answer, next_step Step, microseconds Took);
@@ -142,6 +154,7 @@
   windowed_retry_budget RetryBudget;
   hedge_policy Hedges;
   free_slot_odds FreeSlots;
+  std::set<route_name> UnknownHedgeRoutes; ///< that were logged
   retry_decider Retries;
   downstream_services Downstream;
   root_admission Roots;
--- a/src/chivebeam/mesh/entry_router_attempt.cpp
+++ b/src/chivebeam/mesh/entry_router_attempt.cpp
@@ -1,5 +1,5 @@
 // How a call is sent to one backend server: until when its answer is waited
-// for, when a second copy is sent, and what is learned from the attempt.
+// for, and what is learned from the attempt.
 #include "mesh/entry_router.h"
 
 #include "net/clock.h"
@@ -55,6 +55,7 @@
     co_return std::nullopt;
   recordNotice(Silent->AnsweredBy, *Answer);
   recordLatency(Entry, currentTime());
+  recordWork(Entry, Silent->AnsweredBy, *Answer, currentTime());
   log(Entry, Silent->AnsweredBy, *Answer, next_step::deliver,
       currentTime() - Started);
   co_return finish(Entry, next_step::deliver, std::move(*Answer));
@@ -134,45 +135,6 @@
                         "the deadline of the call has passed");
 }
 
-bool entry_router::isHedgeable(const entry_call &Entry) const {
-  // Hedging at one layer of a call tree only: copies of nested calls would
-  // multiply with those of their parents.
-  return Hedges.isEnabled() && Entry.Call.Idempotent && !Entry.Call.Nested;
-}
-
-bool entry_router::takeHedge(entry_call &Entry, instant Now) {
-  if (isEnding(Entry) || LastAnswerAt || !Retries.mayMoveOn(Entry, Now))
-    return false;
-  const endpoint *Target = choose(Entry, Now);
-  return Target && Hedges.takeHedge(Picker.recentLoad(*Target, Now));
-}
-
-awaitable<std::optional<mesh_answer>>
-entry_router::awaitAnswer(entry_call &Entry, one_shot<mesh_answer> Pending,
-                          instant Now) {
-  std::optional<microseconds> Delay;
-  if (isHedgeable(Entry) && Entry.Attempts == 1)
-    Delay = Hedges.delayOf(Entry.Call.Route);
-  if (!Delay || Now + *Delay >= Entry.Call.Deadline)
-    co_return co_await Pending.wait(Entry.Call.Deadline - Now);
-  std::optional<mesh_answer> Early = co_await Pending.wait(*Delay);
-  if (Early)
-    co_return Early;
-  instant DelayEnded = currentTime();
-  if (!takeHedge(Entry, DelayEnded))
-    co_return co_await Pending.wait(Entry.Call.Deadline - DelayEnded);
-  Metrics.count("calls_hedged");
-  mesh_answer Hedged =
-      emptyAnswer(attempt_outcome::lost, "a second copy of the call is sent");
-  Hedged.Hedged = true;
-  co_return Hedged;
-}
-
-void entry_router::recordLatency(const entry_call &Entry, instant Now) {
-  if (isHedgeable(Entry))
-    Hedges.recordLatency(Entry.Call.Route, Now - Entry.ArrivedAt);
-}
-
 void entry_router::recordObservation(const entry_call &Entry,
                                      const endpoint &Endpoint,
                                      const mesh_answer &Answer,
