--- a/src/libchivebeam/config/publish_check.cpp
+++ b/src/libchivebeam/config/publish_check.cpp
@@ -89,14 +89,23 @@
   return Errors;
 }
 
+bool hasRouteTo(const snapshot &Config, const service_name &Service) {
+  return std::any_of(Config.routes().begin(), Config.routes().end(),
+                     [&](const route_rule &Rule) {
+                       return Rule.Split.empty()
+                                  ? Rule.Service == Service
+                                  : std::any_of(
+                                        Rule.Split.begin(), Rule.Split.end(),
+                                        [&](const weighted_service &Part) {
+                                          return Part.Service == Service;
+                                        });
+                     });
+}
+
 error_list findWarnings(const snapshot &Config) {
   error_list Warnings;
   for (const auto &[Name, Service] : Config.services()) {
-    bool Routed = std::any_of(Config.routes().begin(), Config.routes().end(),
-                              [&Name = Name](const route_rule &Rule) {
-                                return Rule.Service == Name;
-                              });
-    if (!Routed)
+    if (!hasRouteTo(Config, Name))
       Warnings.push_back({error_kind::not_found,
                           "register:/services \"" + Name.str() + "\"",
                           "no route leads to this service",
--- a/src/libchivebeam/config/publish_check.h
+++ b/src/libchivebeam/config/publish_check.h
@@ -18,6 +18,10 @@
 error_list findMoveConflicts(const snapshot &Old, const snapshot &New,
                              const verdict_map &Verdicts, instant Now);
 
+/// True if a route leads to the service, if only by a part of its calls. Thread
+/// safe.
+bool hasRouteTo(const snapshot &Config, const service_name &Service);
+
 /// Finds settings that are valid but probably unintended, such as a service
 /// without a route. Thread safe.
 error_list findWarnings(const snapshot &Config);
