--- a/src/chivebeam/commands/command.h
+++ b/src/chivebeam/commands/command.h
@@ -39,7 +39,8 @@
 
 using command_list = std::vector<std::unique_ptr<command>>;
 
-/// Returns all built-in subcommands.
+/// Returns all built-in subcommands. Those that know the users' platform, or
+/// its documents, are added by main.
 command_list allCommands();
 
 /// Parses the command line, runs the subcommand that it names and returns the
--- a/src/chivebeam/commands/command_line.cpp
+++ b/src/chivebeam/commands/command_line.cpp
@@ -2,7 +2,6 @@
 #include <iostream>
 #include <iterator>
 
-#include "commands/check_command.h"
 #include "commands/history_command.h"
 #include "commands/moves_command.h"
 #include "commands/node_command.h"
@@ -64,7 +63,6 @@
 command_list allCommands() {
   command_list Commands;
   Commands.push_back(std::make_unique<node_command>());
-  Commands.push_back(std::make_unique<check_command>());
   Commands.push_back(std::make_unique<publish_command>());
   Commands.push_back(std::make_unique<moves_command>());
   Commands.push_back(std::make_unique<history_command>());
--- /dev/null
+++ b/src/chivebeam/commands/operator_check.cpp
@@ -0,0 +1,144 @@
+#include "commands/operator_check.h"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+#include "base/duplicate_key_check.h"
+#include "config/config_comparison.h"
+#include "config/config_review.h"
+
+namespace chivebeam {
+
+namespace json = boost::json;
+
+namespace {
+
+/// As deep as the compiler's parser goes.
+constexpr std::size_t MaxDepth = 32;
+constexpr std::string_view WholeDocument = "document";
+
+std::string_view severityName(finding_severity Severity) {
+  return Severity == finding_severity::error ? "error" : "warning";
+}
+
+void appendErrors(const error_list &Errors, const std::string &Prefix,
+                  finding_list &Findings) {
+  for (const error &Error : Errors) {
+    Findings.push_back({finding_severity::error, Error});
+    std::string &Path = Findings.back().Detail.Path;
+    Path = Prefix + (Path.empty() ? std::string(WholeDocument) : Path);
+  }
+}
+
+void append(finding_list More, finding_list &Findings) {
+  std::move(More.begin(), More.end(), std::back_inserter(Findings));
+}
+
+/// Compiles Text. Appends the errors, their paths after Prefix, and returns
+/// null if nodes would refuse it.
+snapshot_ptr compileInto(const operator_document_format &Format,
+                         const std::string &Text, const std::string &Prefix,
+                         finding_list &Findings) {
+  checked<snapshot_ptr> Compiled = Format.compile(Text);
+  if (Compiled)
+    return *Compiled;
+  appendErrors(Compiled.error(), Prefix, Findings);
+  return nullptr;
+}
+
+std::size_t count(const finding_list &Findings, finding_severity Severity) {
+  return static_cast<std::size_t>(std::count_if(
+      Findings.begin(), Findings.end(), [Severity](const finding &Finding) {
+        return Finding.Severity == Severity;
+      }));
+}
+
+json::object toJson(const finding &Finding) {
+  json::object Out;
+  Out["severity"] = severityName(Finding.Severity);
+  Out["path"] = Finding.Detail.Path;
+  Out["problem"] = Finding.Detail.Message;
+  Out["remedy"] = Finding.Detail.Remedy;
+  return Out;
+}
+
+json::object toJson(const config_change &Change) {
+  json::object Out;
+  Out["kind"] = toString(Change.Kind);
+  Out["path"] = Change.Path;
+  Out["what"] = Change.What;
+  Out["effect"] = Change.Effect;
+  return Out;
+}
+
+template <typename Item> json::array toArray(const std::vector<Item> &Items) {
+  json::array Out;
+  for (const Item &Each : Items)
+    Out.emplace_back(toJson(Each));
+  return Out;
+}
+
+} // namespace
+
+bool operator_report::isValid() const {
+  return count(Findings, finding_severity::error) == 0;
+}
+
+operator_report
+checkOperatorDocument(const operator_document_format &Format,
+                      const std::string &Text,
+                      const std::optional<std::string> &InForce) {
+  operator_report Report;
+  Report.Config = compileInto(Format, Text, "", Report.Findings);
+  if (std::optional<error> Duplicate = findDuplicateKey(Text, MaxDepth))
+    appendErrors({*Duplicate}, "", Report.Findings);
+  if (Report.Config)
+    append(reviewConfig(*Report.Config), Report.Findings);
+  if (InForce)
+    Report.InForce =
+        compileInto(Format, *InForce, "in force: ", Report.Findings);
+  if (Report.Config && Report.InForce) {
+    append(reviewUpdate(*Report.InForce, *Report.Config), Report.Findings);
+    Report.Changes = compareConfigs(*Report.InForce, *Report.Config);
+  }
+  return Report;
+}
+
+void printText(const operator_report &Report, std::ostream &Out) {
+  for (finding_severity Severity :
+       {finding_severity::error, finding_severity::warning})
+    for (const finding &Finding : Report.Findings)
+      if (Finding.Severity == Severity)
+        Out << severityName(Severity) << ": " << Finding.Detail.text() << '\n';
+  for (const config_change &Change : Report.Changes)
+    Out << toString(Change.Kind) << ": " << Change.Path
+        << (Change.What.empty() ? "" : ": " + Change.What) << "; "
+        << Change.Effect << '\n';
+  Out << (Report.isValid() ? "valid: " : "not valid: ");
+  if (Report.Config)
+    Out << "version " << Report.Config->number() << ", "
+        << Report.Config->services().size() << " services, "
+        << Report.Config->routes().size() << " routes, "
+        << Report.Config->workspaces().size() << " workspaces, ";
+  Out << count(Report.Findings, finding_severity::error) << " errors, "
+      << count(Report.Findings, finding_severity::warning) << " warnings";
+  if (Report.Config && Report.InForce)
+    Out << ", " << Report.Changes.size() << " changes to version "
+        << Report.InForce->number();
+  Out << '\n';
+}
+
+void printJson(const operator_report &Report, std::ostream &Out) {
+  json::object Document;
+  Document["valid"] = Report.isValid();
+  if (Report.Config)
+    Document["version"] = Report.Config->number().value();
+  if (Report.InForce)
+    Document["in_force"] = Report.InForce->number().value();
+  Document["findings"] = toArray(Report.Findings);
+  Document["changes"] = toArray(Report.Changes);
+  Out << json::serialize(Document) << '\n';
+}
+
+} // namespace chivebeam
