--- a/src/chivebeam/commands/operator_check.cpp
+++ b/src/chivebeam/commands/operator_check.cpp
@@ -102,15 +102,17 @@
     append(reviewUpdate(*Report.InForce, *Report.Config), Report.Findings);
     Report.Changes = compareConfigs(*Report.InForce, *Report.Config);
   }
+  std::stable_partition(Report.Findings.begin(), Report.Findings.end(),
+                        [](const finding &Finding) {
+                          return Finding.Severity == finding_severity::error;
+                        });
   return Report;
 }
 
 void printText(const operator_report &Report, std::ostream &Out) {
-  for (finding_severity Severity :
-       {finding_severity::error, finding_severity::warning})
-    for (const finding &Finding : Report.Findings)
-      if (Finding.Severity == Severity)
-        Out << severityName(Severity) << ": " << Finding.Detail.text() << '\n';
+  for (const finding &Finding : Report.Findings)
+    Out << severityName(Finding.Severity) << ": " << Finding.Detail.text()
+        << '\n';
   for (const config_change &Change : Report.Changes)
     Out << toString(Change.Kind) << ": " << Change.Path
         << (Change.What.empty() ? "" : ": " + Change.What) << "; "
--- a/src/chivebeam/commands/operator_check.h
+++ b/src/chivebeam/commands/operator_check.h
@@ -12,7 +12,7 @@
 
 /// What a check of an operator's document has found.
 struct operator_report {
-  finding_list Findings;
+  finding_list Findings; ///< errors first
   /// Differences from the version in force; empty without one, or if either
   /// document would be refused.
   config_change_list Changes;
--- a/src/libchivebeam/config/route_comparison.cpp
+++ b/src/libchivebeam/config/route_comparison.cpp
@@ -172,8 +172,8 @@
       route_comparer(InForce, New, *Found->second, *Route, Changes).compare();
     else
       Changes.push_back({change_kind::added, "route " + quoted(Name.str()), "",
-                         "calls of " + callsText(*Route) + " go to " +
-                             targetText(*Route) +
+                         "calls of " + callsText(*Route) +
+                             " now: " + destinationText(New, *Route) +
                              "; before: " + destinationText(InForce, *Route)});
   }
 }
--- a/src/libchivebeam/config/snapshot_builder.cpp
+++ b/src/libchivebeam/config/snapshot_builder.cpp
@@ -219,7 +219,7 @@
     if (!std::isfinite(Cap.Burst) || Cap.Burst < 0)
       Refuse("burst", "is negative or not a number",
              "set the calls beyond the rate, or leave it out");
-    if (Cap.Burst > 0 && !Cap.isLimited())
+    if (Cap.Burst > 0 && Cap.RatePerSecond == 0)
       Refuse("burst", "has no rate",
              "set a rate beside it, or leave out the burst");
     checkKeys(Workspace, Path);
--- a/src/libchivebeam/config/workspace_comparison.cpp
+++ b/src/libchivebeam/config/workspace_comparison.cpp
@@ -54,11 +54,14 @@
     return "calls need no key any more";
   if (Removed == 0)
     return "none; it had no keys";
-  std::string Text = "calls with " + keysText(Unknown) + " get 401";
+  std::string Text;
+  if (Unknown > 0)
+    Text = "calls with " + keysText(Unknown) + " get 401";
   if (Unknown > 0 && hasAnonymousRoute(New))
     Text += ", or are anonymous on routes that allow it";
   if (Unknown < Removed)
-    Text += "; " + keysText(Removed - Unknown) + " belong to another workspace";
+    Text += (Text.empty() ? "calls with " : "; calls with ") +
+            keysText(Removed - Unknown) + " belong to another workspace";
   return Text;
 }
 
