--- a/src/chivebeam/commands/operator_check.cpp
+++ b/src/chivebeam/commands/operator_check.cpp
@@ -27,7 +27,9 @@
   for (const error &Error : Errors) {
     Findings.push_back({finding_severity::error, Error});
     std::string &Path = Findings.back().Detail.Path;
-    Path = Prefix + (Path.empty() ? std::string(WholeDocument) : Path);
+    if (Path.empty())
+      Path = WholeDocument;
+    Path.insert(0, Prefix);
   }
 }
 
--- a/tests/platform/operator_check_test.cpp
+++ b/tests/platform/operator_check_test.cpp
@@ -51,6 +51,7 @@
 run_result run(std::vector<std::string> Words) {
   Words.insert(Words.begin(), {"chivebeam", "check"});
   std::vector<char *> Arguments;
+  Arguments.reserve(Words.size());
   for (std::string &Word : Words)
     Arguments.push_back(Word.data());
   const platform::operator_json_format Format;
