Warn of what nodes pass over in an operator's document

Cause: nodes read the last of two services of one name, drop a burst without a rate and pass over misspelled optional fields, all without a word. Change: findIgnored of the document's format, whose findings the check shows as warnings. Nodes read documents as before.

--- a/src/chivebeam/commands/operator_check.cpp
+++ b/src/chivebeam/commands/operator_check.cpp
@@ -22,10 +22,10 @@
   return Severity == finding_severity::error ? "error" : "warning";
 }
 
-void appendErrors(const error_list &Errors, const std::string &Prefix,
-                  finding_list &Findings) {
+void appendAll(const error_list &Errors, finding_severity Severity,
+               const std::string &Prefix, finding_list &Findings) {
   for (const error &Error : Errors) {
-    Findings.push_back({finding_severity::error, Error});
+    Findings.push_back({Severity, Error});
     std::string &Path = Findings.back().Detail.Path;
     if (Path.empty())
       Path = WholeDocument;
@@ -45,7 +45,7 @@
   checked<snapshot_ptr> Compiled = Format.compile(Text);
   if (Compiled)
     return *Compiled;
-  appendErrors(Compiled.error(), Prefix, Findings);
+  appendAll(Compiled.error(), finding_severity::error, Prefix, Findings);
   return nullptr;
 }
 
@@ -94,7 +94,9 @@
   operator_report Report;
   Report.Config = compileInto(Format, Text, "", Report.Findings);
   if (std::optional<error> Duplicate = findDuplicateKey(Text, MaxDepth))
-    appendErrors({*Duplicate}, "", Report.Findings);
+    appendAll({*Duplicate}, finding_severity::error, "", Report.Findings);
+  appendAll(Format.findIgnored(Text), finding_severity::warning, "",
+            Report.Findings);
   if (Report.Config)
     append(reviewConfig(*Report.Config), Report.Findings);
   if (InForce)
--- a/src/chivebeam/mesh/operator_document_format.h
+++ b/src/chivebeam/mesh/operator_document_format.h
@@ -28,6 +28,9 @@
   virtual bool isConfig(std::string_view Key) const = 0;
   /// Compiles the text of a configuration into a snapshot.
   virtual checked<snapshot_ptr> compile(const std::string &Text) const = 0;
+  /// Returns the entries of a configuration that compile() passes over without
+  /// an error although they look meant, each with path and remedy.
+  virtual error_list findIgnored(const std::string &Text) const = 0;
   virtual bool isMoveOrder(std::string_view Key) const = 0;
   virtual result<move_order> readMoveOrder(const std::string &Text) const = 0;
   /// Returns the failure domain that the entry with this key evacuates as long
--- a/tests/platform/operator_check_test.cpp
+++ b/tests/platform/operator_check_test.cpp
@@ -176,6 +176,36 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(entries_that_nodes_pass_over_are_warned_of) {
+  auto ExpectWarning = [](const json::value &Document,
+                          const std::string &Path) {
+    operator_report Report = check(json::serialize(Document));
+    BOOST_REQUIRE(Report.Findings.size() == 1u);
+    BOOST_TEST(Report.isValid());
+    BOOST_TEST(Report.Findings[0].Detail.Path == Path);
+    BOOST_TEST(!Report.Findings[0].Detail.Remedy.empty());
+  };
+  struct entry {
+    std::string Parent, Field;
+    json::value Value;
+  };
+  for (const entry &Entry :
+       std::vector<entry>{{"/services/0", "maxConnections", -1},
+                          {"/services/0", "coldPers", 5},
+                          {"/tenants/0", "Priorty", 1},
+                          {Route, "allowAnonymus", true}}) {
+    json::value Document = soundDocument();
+    Document.at_pointer(Entry.Parent).as_object()[Entry.Field] = Entry.Value;
+    ExpectWarning(Document, Entry.Parent + "/" + Entry.Field);
+  }
+  json::value NoRate = soundDocument();
+  NoRate.at_pointer("/tenants/0/ratePerS") = 0;
+  ExpectWarning(NoRate, "/tenants/0/burst");
+  json::value Twice = soundDocument();
+  Twice.at("services").as_array().push_back(json::object{{"name", "desk"}});
+  ExpectWarning(Twice, "/services/0");
+}
+
 BOOST_AUTO_TEST_CASE(the_command_answers_scripts_by_status_and_json) {
   const std::string Old = Examples + "in-force.json";
   const std::string New = Examples + "new.json";
