Say what a change of a workspace's priority does

Cause: The check said that nothing is decided by it, which ends with the ranks of calls. Change: It says that calls go before or after those of other workspaces under a shortage, and that a third goes first.

--- a/src/libchivebeam/config/workspace_comparison.cpp
+++ b/src/libchivebeam/config/workspace_comparison.cpp
@@ -72,6 +72,15 @@
              : "calls are not limited";
 }
 
+/// Nodes order calls by the workspace's priority before the route's, and serve
+/// a third of those of each workspace first all the same.
+std::string priorityEffect(unsigned Before, unsigned After) {
+  return std::string("under a shortage, its calls go ") +
+         (After < Before ? "before" : "after") +
+         " those of more other workspaces; a third of them goes first all the "
+         "same";
+}
+
 void compareWorkspace(const snapshot &InForce, const snapshot &New,
                       const workspace &Before, const workspace &After,
                       config_change_list &Changes) {
@@ -94,7 +103,7 @@
   if (Before.Priority != After.Priority)
     Add(changeText("priority", std::to_string(Before.Priority),
                    std::to_string(After.Priority)),
-        "calls carry it; nothing is decided by it yet");
+        priorityEffect(Before.Priority, After.Priority));
 }
 
 /// Adds that calls need keys from now on, or need none any more.
--- a/tests/config/config_review_test.cpp
+++ b/tests/config/config_review_test.cpp
@@ -214,6 +214,10 @@
       },
       {"changed workspace \"north\": usage cap 50/s, burst 10 -> 5/s, burst "
        "2; calls over 5/s and a burst of 2 get 429"});
+  Expect([](parts &P) { P.Rules.Workspaces[0].Priority = 2; },
+         {"changed workspace \"north\": priority 0 -> 2; under a shortage, its "
+          "calls go after those of more other workspaces; a third of them goes "
+          "first all the same"});
   Expect([](parts &P) { P.Rules.Limits.MaxBodyBytes = 1'000; },
          {"changed limits: body bytes 67108864 -> 1000; calls with more than "
           "1000 bytes get 413"});
