Warn of an empty host of a route

Cause: Nodes read an empty host as any host, and the check was silent about it. Change: The review warns of it as it does of an empty prefix. Result: test_config passes with the new case.

--- a/src/libchivebeam/config/config_review.cpp
+++ b/src/libchivebeam/config/config_review.cpp
@@ -67,7 +67,10 @@
 /// Nodes compare the Host header without its port, byte by byte.
 void config_reviewer::reviewHost(const route_rule &Route) {
   const std::string &Host = Route.Host;
-  if (containsAny(Host, ":"))
+  if (Host.empty())
+    warn(pathOf(Route), "has an empty host, which takes calls of every host",
+         "write the host, unless calls of all hosts are meant");
+  else if (containsAny(Host, ":"))
     refuse(pathOf(Route),
            "no call matches host " + quoted(Host) +
                ": hosts are compared without their port",
--- a/tests/config/config_review_test.cpp
+++ b/tests/config/config_review_test.cpp
@@ -115,6 +115,7 @@
        "as they are written"},
       {Second([](route_rule &R) { R.Host = "A.example"; }), Warned, Pay,
        "capitals"},
+      {Second([](route_rule &R) { R.Host = ""; }), Warned, Pay, "every host"},
       {Second([](route_rule &R) { R.PathPrefix = "pay/"; }), Refused, Pay,
        "paths begin with"},
       {Second([](route_rule &R) { R.PathPrefix = "/pay/?a="; }), Refused, Pay,
