Let a refused document in force not bar its repair

Cause: Errors of the document in force made the new one invalid, so the repair of a document that nodes had refused was not to be sent.

--- a/src/chivebeam/commands/operator_check.cpp
+++ b/src/chivebeam/commands/operator_check.cpp
@@ -37,15 +37,33 @@
   std::move(More.begin(), More.end(), std::back_inserter(Findings));
 }
 
-/// Compiles Text. Appends the errors, their paths after Prefix, and returns
-/// null if nodes would refuse it.
-snapshot_ptr compileInto(const operator_document_format &Format,
-                         const std::string &Text, const std::string &Prefix,
-                         finding_list &Findings) {
+/// Compiles the document to send. Appends the errors and returns null if nodes
+/// would refuse it.
+snapshot_ptr compileNew(const operator_document_format &Format,
+                        const std::string &Text, finding_list &Findings) {
   checked<snapshot_ptr> Compiled = Format.compile(Text);
   if (Compiled)
     return *Compiled;
-  appendAll(Compiled.error(), finding_severity::error, Prefix, Findings);
+  appendAll(Compiled.error(), finding_severity::error, "", Findings);
+  return nullptr;
+}
+
+/// Compiles the document in force. Appends warnings and returns null if nodes
+/// have refused it: the new document may be its repair.
+snapshot_ptr compileInForce(const operator_document_format &Format,
+                            const std::string &Text, finding_list &Findings) {
+  checked<snapshot_ptr> Compiled = Format.compile(Text);
+  if (Compiled)
+    return *Compiled;
+  Findings.push_back(
+      {finding_severity::warning,
+       {error_kind::invalid_input, "in force",
+        "nodes refuse this document and keep an older version, so version and "
+        "changes can't be checked",
+        "give the last document that nodes took, or send a version above all "
+        "earlier ones"}});
+  appendAll(Compiled.error(), finding_severity::warning,
+            "in force: ", Findings);
   return nullptr;
 }
 
@@ -92,7 +110,7 @@
                       const std::string &Text,
                       const std::optional<std::string> &InForce) {
   operator_report Report;
-  Report.Config = compileInto(Format, Text, "", Report.Findings);
+  Report.Config = compileNew(Format, Text, Report.Findings);
   if (std::optional<error> Duplicate = findDuplicateKey(Text, MaxDepth))
     appendAll({*Duplicate}, finding_severity::error, "", Report.Findings);
   appendAll(Format.findIgnored(Text), finding_severity::warning, "",
@@ -100,8 +118,7 @@
   if (Report.Config)
     append(reviewConfig(*Report.Config), Report.Findings);
   if (InForce)
-    Report.InForce =
-        compileInto(Format, *InForce, "in force: ", Report.Findings);
+    Report.InForce = compileInForce(Format, *InForce, Report.Findings);
   if (Report.Config && Report.InForce) {
     append(reviewUpdate(*Report.InForce, *Report.Config), Report.Findings);
     Report.Changes = compareConfigs(*Report.InForce, *Report.Config);
--- a/tests/platform/operator_check_test.cpp
+++ b/tests/platform/operator_check_test.cpp
@@ -176,6 +176,23 @@
              std::string::npos);
 }
 
+// Nodes go on with the last good document; the repaired one must be sent.
+BOOST_AUTO_TEST_CASE(a_refused_document_in_force_does_not_bar_its_repair) {
+  json::value Broken = soundDocument();
+  Broken.at_pointer("/virtualHosts/0/host") = 5;
+  operator_report Report = checkOperatorDocument(
+      platform::operator_json_format(), json::serialize(soundDocument()),
+      json::serialize(Broken));
+  BOOST_TEST(Report.isValid());
+  BOOST_TEST(Report.Changes.empty());
+  BOOST_REQUIRE(Report.Findings.size() == 2u);
+  BOOST_TEST(Report.Findings[0].Detail.Path == "in force");
+  BOOST_TEST(Report.Findings[1].Detail.Path ==
+             "in force: /virtualHosts/0/host");
+  for (const finding &Finding : Report.Findings)
+    BOOST_TEST((Finding.Severity == finding_severity::warning));
+}
+
 BOOST_AUTO_TEST_CASE(entries_that_nodes_pass_over_are_warned_of) {
   auto ExpectWarning = [](const json::value &Document,
                           const std::string &Path) {
