Print no API key that stands in a wrong place

Cause: With keys written as an object, the message on a doubled field printed one. Change: Doubled fields are sought only in documents that nodes take. Result: test_platform passes with a new test.

--- a/src/chivebeam/commands/operator_check.cpp
+++ b/src/chivebeam/commands/operator_check.cpp
@@ -111,12 +111,14 @@
                       const std::optional<std::string> &InForce) {
   operator_report Report;
   Report.Config = compileNew(Format, Text, Report.Findings);
-  if (std::optional<error> Duplicate = findDuplicateKey(Text, MaxDepth))
-    appendAll({*Duplicate}, finding_severity::error, "", Report.Findings);
   appendAll(Format.findIgnored(Text), finding_severity::warning, "",
             Report.Findings);
-  if (Report.Config)
+  if (Report.Config) {
+    // In a refused document, the doubled name may be an API key.
+    if (std::optional<error> Duplicate = findDuplicateKey(Text, MaxDepth))
+      appendAll({*Duplicate}, finding_severity::error, "", Report.Findings);
     append(reviewConfig(*Report.Config), Report.Findings);
+  }
   if (InForce)
     Report.InForce = compileInForce(Format, *InForce, Report.Findings);
   if (Report.Config && Report.InForce) {
--- a/tests/platform/operator_check_test.cpp
+++ b/tests/platform/operator_check_test.cpp
@@ -176,6 +176,18 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(keys_in_a_wrong_place_are_not_printed) {
+  std::string Text = json::serialize(soundDocument());
+  const std::string List = R"(["secret-1"])";
+  Text.replace(Text.find(List), List.size(), R"({"secret-1":1,"secret-1":2})");
+  operator_report Report = check(Text);
+  BOOST_TEST(!Report.isValid());
+  std::ostringstream Printed;
+  printText(Report, Printed);
+  printJson(Report, Printed);
+  BOOST_TEST(Printed.str().find("secret") == std::string::npos);
+}
+
 // Nodes go on with the last good document; the repaired one must be sent.
 BOOST_AUTO_TEST_CASE(a_refused_document_in_force_does_not_bar_its_repair) {
   json::value Broken = soundDocument();
