Test that routes of a document without findings take calls

Cause: The property test asked only half: what nodes refuse, the check refuses. Change: Each route of a document without findings must be found by its own host and prefix.

--- a/tests/platform/operator_check_test.cpp
+++ b/tests/platform/operator_check_test.cpp
@@ -114,6 +114,7 @@
 } // namespace
 
 // What the check accepts, the nodes accept; what they refuse, the check names.
+// Each route of a document without findings takes calls.
 // Answers a check that repeats the compiler's rules and drifts from them.
 BOOST_AUTO_TEST_CASE(the_check_accepts_no_document_that_nodes_refuse) {
   ::setenv("RC_PARAMS", "seed=20261207 max_success=2000", 1);
@@ -133,6 +134,10 @@
     RC_CLASSIFY(Report.isValid(), "accepted by the check");
     RC_ASSERT(Accepted || !Report.isValid());
     RC_ASSERT(Changes > 0 || Report.Findings.empty());
+    if (Report.Findings.empty())
+      for (const route_rule &Rule : Report.Config->routes())
+        RC_ASSERT(Report.Config->match(Rule.Host, Rule.PathPrefix, "GET") ==
+                  &Rule);
     for (const finding &Finding : Report.Findings) {
       RC_ASSERT(!Finding.Detail.Path.empty());
       RC_ASSERT(!Finding.Detail.Message.empty());
