Say what nodes do with a limit for headers over 32 bits

Cause: The check called it an error without the reason, and the design note did not cover it. Result: test_config and test_platform pass.

--- a/src/libchivebeam/config/config_review.cpp
+++ b/src/libchivebeam/config/config_review.cpp
@@ -192,10 +192,14 @@
 
 void config_reviewer::reviewSizeLimits() {
   const caller_limits &Limits = Config.callerLimits();
-  if (Limits.MaxHeaderBytes == 0 || Limits.MaxHeaderBytes > MaxHeaderLimit)
+  if (Limits.MaxHeaderBytes == 0)
+    refuse("limits", "the limit for header bytes is 0, so no call is taken",
+           "set the bytes of the largest header that callers send");
+  else if (Limits.MaxHeaderBytes > MaxHeaderLimit)
     refuse("limits",
-           "the limit for header bytes is 0, negative or over " +
-               std::to_string(MaxHeaderLimit),
+           "the limit for header bytes is negative or over " +
+               std::to_string(MaxHeaderLimit) +
+               "; nodes keep only its lowest 32 bits",
            "set the bytes of the largest header that callers send");
   if (Limits.MaxBodyBytes > MaxBodyLimit)
     refuse("limits", "the limit for body bytes is negative",
--- a/tests/config/config_review_test.cpp
+++ b/tests/config/config_review_test.cpp
@@ -141,7 +141,7 @@
       {Limits([](caller_limits &L) { L.MaxHeaderBytes = 0; }), Refused,
        "limits", "header bytes"},
       {Limits([](caller_limits &L) { L.MaxHeaderBytes = 1ULL << 32; }), Refused,
-       "limits", "header bytes"},
+       "limits", "lowest 32 bits"},
       {Limits([](caller_limits &L) { L.MaxBodyBytes = -1ULL; }), Refused,
        "limits", "negative"},
       {Limits([](caller_limits &L) { L.MaxBodyBytes = 0; }), Warned, "limits",
