Report an unknown weighted service once

Cause: The first weighted service stands for the route's service too, so it was reported twice, once at a field that the document does not have.

--- a/tests/platform/operator_check_test.cpp
+++ b/tests/platform/operator_check_test.cpp
@@ -170,6 +170,12 @@
       BOOST_TEST(Report.Findings[0].Detail.Path == Field);
     }
   }
+  json::value Unknown = soundDocument();
+  const std::string Targets = "/virtualHosts/0/paths/0/weightedServices";
+  Unknown.at_pointer(Targets + "/0/service") = "nobody";
+  operator_report Named = check(json::serialize(Unknown));
+  BOOST_REQUIRE(Named.Findings.size() == 1u);
+  BOOST_TEST(Named.Findings[0].Detail.Path == Targets);
   operator_report Syntax = check("{\"version\": 7,\n \"services\" [");
   BOOST_REQUIRE(Syntax.Findings.size() == 1u);
   BOOST_TEST(Syntax.Findings[0].Detail.text().find("in line 2") !=
