Name only changes of shares, defaults and keys that callers see

Cause: Another order or scale of weights was named a change, a timeout in place of the default a cut, and a workspace without keys said to accept calls. Change: The comparison compares shares, names the default and says that no call belongs to such a workspace. Result: test_config passes with new cases.

--- a/src/libchivebeam/config/route_comparison.cpp
+++ b/src/libchivebeam/config/route_comparison.cpp
@@ -36,6 +36,23 @@
   return Text;
 }
 
+/// Returns the share of calls that each service gets, whatever the order and
+/// scale of the weights. Empty if all weights are 0.
+std::map<service_name, double> sharesOf(const route_rule &Route) {
+  if (Route.Split.empty())
+    return {{Route.Service, 1}};
+  double Total = 0;
+  for (const weighted_service &Part : Route.Split)
+    Total += Part.Weight;
+  std::map<service_name, double> Shares;
+  for (const weighted_service &Part : Route.Split)
+    if (Part.Weight > 0)
+      Shares[Part.Service] += Part.Weight;
+  for (auto &[Service, Share] : Shares)
+    Share /= Total;
+  return Shares;
+}
+
 /// Says what Config does with the calls that Route names.
 std::string destinationText(const snapshot &Config, const route_rule &Route) {
   const route_rule *Found =
@@ -73,6 +90,8 @@
   void compareOrder();
   void compareKeys();
 
+  std::string timeoutEffect() const;
+
   void add(std::string What, std::string Effect) {
     Changes.push_back({change_kind::changed,
                        "route " + quoted(After.Name.str()), std::move(What),
@@ -96,20 +115,29 @@
 }
 
 void route_comparer::compareTargets() {
-  if (targetText(Before) != targetText(After))
+  if (sharesOf(Before) != sharesOf(After))
     add(changeText("service", targetText(Before), targetText(After)),
         "calls go to " + targetText(After) + " instead of " +
             targetText(Before));
 }
 
+std::string route_comparer::timeoutEffect() const {
+  std::string Time = secondsText(After.Deadline);
+  if (After.Deadline.count() == 0)
+    return "nodes use their default timeout";
+  if (Before.Deadline.count() == 0)
+    return "nodes use it instead of their default; calls over " + Time +
+           " end with 504";
+  return After.Deadline < Before.Deadline
+             ? "calls over " + Time + " end with 504"
+             : "calls may last up to " + Time;
+}
+
 void route_comparer::compareTimeouts() {
   if (Before.Deadline != After.Deadline)
     add(changeText("timeout", secondsText(Before.Deadline),
                    secondsText(After.Deadline)),
-        After.Deadline.count() == 0 ? "nodes use their default timeout"
-        : After.Deadline < Before.Deadline || Before.Deadline.count() == 0
-            ? "calls over " + secondsText(After.Deadline) + " end with 504"
-            : "calls may last up to " + secondsText(After.Deadline));
+        timeoutEffect());
   if (Before.Goal != After.Goal)
     add(changeText("latency goal", secondsText(Before.Goal),
                    secondsText(After.Goal)),
--- a/src/libchivebeam/config/workspace_comparison.cpp
+++ b/src/libchivebeam/config/workspace_comparison.cpp
@@ -137,7 +137,9 @@
       Changes.push_back(
           {change_kind::added, "workspace " + quoted(Name.str()),
            "with " + keysText(After.Keys.size()),
-           "calls with its keys are accepted; " + capEffect(After.Cap)});
+           After.Keys.empty()
+               ? "none; no call belongs to it"
+               : "calls with its keys are accepted; " + capEffect(After.Cap)});
   }
 }
 
--- a/tests/config/config_review_test.cpp
+++ b/tests/config/config_review_test.cpp
@@ -190,6 +190,13 @@
     BOOST_TEST(changesOf(Edit) == Texts, boost::test_tools::per_element());
   };
   Expect([](parts &) {}, {});
+  Expect(
+      [](parts &P) {
+        P.Rules.Routes[0].Split = {{service_name("desk"), 3}};
+      },
+      {});
+  Expect([](parts &P) { P.Rules.Workspaces.push_back(holder("w", {}, {})); },
+         {"added workspace \"w\": with 0 keys; none; no call belongs to it"});
   Expect([](parts &P) { P.Rules.Routes.pop_back(); },
          {"removed route \"pay\": ; calls of a.example/pay/ now: route "
           "\"all\", service \"desk\""});
