Print control bytes of names visibly in the check

Cause: A name with a newline or escape byte could forge lines of the report, and one error was counted as "1 errors".

--- a/src/chivebeam/commands/operator_check.cpp
+++ b/src/chivebeam/commands/operator_check.cpp
@@ -1,6 +1,9 @@
 #include "commands/operator_check.h"
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
+#include <utility>
 
 #include <boost/json.hpp>
 
@@ -74,6 +77,27 @@
       }));
 }
 
+/// Returns the number and the noun, in the plural if needed.
+std::string countText(std::size_t Count, const std::string &Noun) {
+  return std::to_string(Count) + " " + Noun + (Count == 1 ? "" : "s");
+}
+
+/// Returns Text with control bytes as \xNN, so that names in a document can't
+/// forge lines.
+std::string printable(std::string_view Text) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  constexpr unsigned char Delete = 0x7f;
+  std::string Out;
+  for (char Byte : Text) {
+    auto Code = static_cast<unsigned char>(Byte);
+    if (Code >= ' ' && Code != Delete)
+      Out += Byte;
+    else
+      Out.append("\\x").append({Digits[Code / 16], Digits[Code % 16]});
+  }
+  return Out;
+}
+
 json::object toJson(const finding &Finding) {
   json::object Out;
   Out["severity"] = severityName(Finding.Severity);
@@ -134,22 +158,24 @@
 
 void printText(const operator_report &Report, std::ostream &Out) {
   for (const finding &Finding : Report.Findings)
-    Out << severityName(Finding.Severity) << ": " << Finding.Detail.text()
-        << '\n';
+    Out << severityName(Finding.Severity) << ": "
+        << printable(Finding.Detail.text()) << '\n';
   for (const config_change &Change : Report.Changes)
-    Out << toString(Change.Kind) << ": " << Change.Path
-        << (Change.What.empty() ? "" : ": " + Change.What) << "; "
-        << Change.Effect << '\n';
+    Out << toString(Change.Kind) << ": " << printable(Change.Path)
+        << (Change.What.empty() ? "" : ": " + printable(Change.What)) << "; "
+        << printable(Change.Effect) << '\n';
   Out << (Report.isValid() ? "valid: " : "not valid: ");
   if (Report.Config)
     Out << "version " << Report.Config->number() << ", "
-        << Report.Config->services().size() << " services, "
-        << Report.Config->routes().size() << " routes, "
-        << Report.Config->workspaces().size() << " workspaces, ";
-  Out << count(Report.Findings, finding_severity::error) << " errors, "
-      << count(Report.Findings, finding_severity::warning) << " warnings";
+        << countText(Report.Config->services().size(), "service") << ", "
+        << countText(Report.Config->routes().size(), "route") << ", "
+        << countText(Report.Config->workspaces().size(), "workspace") << ", ";
+  Out << countText(count(Report.Findings, finding_severity::error), "error")
+      << ", "
+      << countText(count(Report.Findings, finding_severity::warning),
+                   "warning");
   if (Report.Config && Report.InForce)
-    Out << ", " << Report.Changes.size() << " changes to version "
+    Out << ", " << countText(Report.Changes.size(), "change") << " to version "
         << Report.InForce->number();
   Out << '\n';
 }
--- a/tests/platform/operator_check_test.cpp
+++ b/tests/platform/operator_check_test.cpp
@@ -2,6 +2,7 @@
 // of the nodes, names the place of a mistake, and what the command prints.
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <sstream>
@@ -199,6 +200,17 @@
   BOOST_TEST(Printed.str().find("secret") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(names_with_control_bytes_forge_no_lines) {
+  json::value Document = soundDocument();
+  Document.at_pointer(Route + "/name") = "r\nvalid: \x1b[2J";
+  Document.at_pointer(Route + "/prefix") = "/x";
+  std::ostringstream Printed;
+  printText(check(json::serialize(Document)), Printed);
+  const std::string Text = Printed.str();
+  BOOST_TEST(std::count(Text.begin(), Text.end(), '\n') == 2);
+  BOOST_TEST(Text.find("r\\x0avalid: \\x1b[2J") != std::string::npos);
+}
+
 // Nodes go on with the last good document; the repaired one must be sent.
 BOOST_AUTO_TEST_CASE(a_refused_document_in_force_does_not_bar_its_repair) {
   json::value Broken = soundDocument();
