Charge answers in parts to the memory for answers

Cause: answers of other nodes were bounded for each call at the entry node, but not together. Change: a link reserves memory in the budget of answers as parts arrive; it is released with the body. An answer whose next part does not fit is lost; its home node is told to drop the rest, and the link stays.

--- a/src/chivebeam/mesh/peer_hub.cpp
+++ b/src/chivebeam/mesh/peer_hub.cpp
@@ -34,8 +34,8 @@
   auto Known = Addresses.find(Node);
   if (Known == Addresses.end())
     return nullptr;
-  auto Link =
-      std::make_shared<peer_link>(Context, Node, Known->second, PeerState);
+  auto Link = std::make_shared<peer_link>(Context, Node, Known->second,
+                                          PeerState, Answers);
   return Links.emplace(Node, std::move(Link)).first->second.get();
 }
 
@@ -152,7 +152,8 @@
       continue;
     Link->setKept(false);
     Replaced.push_back({Node, Link});
-    Link = std::make_shared<peer_link>(Context, Node, Known->second, PeerState);
+    Link = std::make_shared<peer_link>(Context, Node, Known->second, PeerState,
+                                       Answers);
     Link->setKept(SubscribedTo.contains(Node));
     Link->ping();
   }
--- a/src/chivebeam/mesh/peer_hub.h
+++ b/src/chivebeam/mesh/peer_hub.h
@@ -13,9 +13,11 @@
 /// not thread safe.
 class peer_hub {
 public:
-  /// \pre Context and PeerState outlive the hub.
-  peer_hub(asio::io_context &Context, peer_state_listener &PeerState)
-      : Context(Context), PeerState(PeerState), Protocol(PeerState) {}
+  /// \pre Context, PeerState and Answers outlive the hub.
+  peer_hub(asio::io_context &Context, peer_state_listener &PeerState,
+           body_budget &Answers)
+      : Context(Context), PeerState(PeerState), Answers(Answers),
+        Protocol(PeerState) {}
 
   /// Sets the nodes that can be reached. A link with open calls stays until
   /// they end: a node whose record is gone may still run them. \pre the own
@@ -88,6 +90,7 @@
 
   asio::io_context &Context;
   peer_state_listener &PeerState;
+  body_budget &Answers; ///< of other nodes
   peer_protocol Protocol;
   std::map<node_id, address> Addresses;
   std::map<node_id, std::shared_ptr<peer_link>> Links;
--- a/src/chivebeam/mesh/peer_link.cpp
+++ b/src/chivebeam/mesh/peer_link.cpp
@@ -37,10 +37,11 @@
 
 peer_link::peer_link(asio::io_context &IoContext, node_id PeerNode,
                      address PeerAddress,
-                     peer_state_listener &PeerStateListener)
+                     peer_state_listener &PeerStateListener,
+                     body_budget &AnswerBudget)
     : Context(IoContext), Node(std::move(PeerNode)),
       Peer(std::move(PeerAddress)), PeerState(PeerStateListener),
-      Protocol(PeerStateListener) {}
+      Answers(AnswerBudget), Protocol(PeerStateListener) {}
 
 void peer_link::open() {
   if (Opening || Closed || isOpen())
@@ -248,7 +249,8 @@
     return complete(Frame.Call,
                     emptyAnswer(attempt_outcome::lost,
                                 "the answer exceeds the size limit"));
-  Found->second.Parted = {std::move(*Frame.Answer), Frame.PartedBytes, {}};
+  Found->second.Parted.emplace(parted_answer{
+      std::move(*Frame.Answer), Frame.PartedBytes, {}, *Answers.reserve(0)});
 }
 
 void peer_link::onAnswerPart(const peer_frame &Frame) {
@@ -256,18 +258,30 @@
   if (Found == Pending.end() || !Found->second.Parted)
     return; // cancelled earlier
   parted_answer &Parted = *Found->second.Parted;
+  std::uint64_t Bytes = Parted.Body.size() + Frame.Body->size();
+  if (Bytes > Parted.Bytes)
+    return loseAnswer(Frame.Call, "the answer is longer than announced");
+  if (!Parted.Held.growTo(Bytes))
+    return loseAnswer(Frame.Call, "no memory for the answer");
+  // Memory that is not written to is not used yet.
+  if (Parted.Body.empty())
+    Parted.Body.reserve(Parted.Bytes);
   Parted.Body += *Frame.Body;
-  if (Parted.Body.size() < Parted.Bytes)
+  if (Bytes < Parted.Bytes)
     return;
-  if (Parted.Body.size() > Parted.Bytes)
-    return complete(Frame.Call,
-                    emptyAnswer(attempt_outcome::lost,
-                                "the answer is longer than announced"));
   mesh_answer Answer = std::move(Parted.Answer);
-  Answer.Body = std::make_shared<const std::string>(std::move(Parted.Body));
+  Answer.Body =
+      makeReservedBody(std::move(Parted.Body), std::move(Parted.Held));
   complete(Frame.Call, std::move(Answer));
 }
 
+void peer_link::loseAnswer(std::uint64_t Number, std::string Reason) {
+  peer_frame Frame = Protocol.frame(frame_kind::cancel);
+  Frame.Call = Number;
+  send(Frame);
+  complete(Number, emptyAnswer(attempt_outcome::lost, std::move(Reason)));
+}
+
 void peer_link::complete(std::uint64_t Number, mesh_answer Answer) {
   auto Found = Pending.find(Number);
   reply Reply = std::move(Found->second.Reply);
--- a/src/chivebeam/mesh/peer_link.h
+++ b/src/chivebeam/mesh/peer_link.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <unordered_map>
 
+#include "mesh/body_budget.h"
 #include "mesh/cancel_signal.h"
 #include "mesh/peer_protocol.h"
 
@@ -18,9 +19,10 @@
 public:
   using reply = std::function<void(mesh_answer)>;
 
-  /// \pre Context and PeerState outlive the link.
+  /// \pre Context, PeerState and Answers outlive the link. Answers holds the
+  /// bodies of answers that arrive in parts.
   peer_link(asio::io_context &Context, node_id Node, address Peer,
-            peer_state_listener &PeerState);
+            peer_state_listener &PeerState, body_budget &Answers);
 
   const address &peer() const { return Peer; }
   /// Sends a call; Reply is called once, unless Cancel is raised first. While
@@ -57,6 +59,7 @@
     mesh_answer Answer;
     std::uint64_t Bytes = 0; ///< of the whole body
     std::string Body;        ///< what has arrived
+    body_reservation Held;   ///< for it
   };
   struct pending_call {
     mesh_call Call; ///< moved from once sent, except an offered body
@@ -88,6 +91,8 @@
   void bodySent(std::uint64_t Number);
   void onAnswer(peer_frame Frame);
   void onAnswerPart(const peer_frame &Frame);
+  /// Ends a call whose answer can't be taken; the rest of it is not sent.
+  void loseAnswer(std::uint64_t Number, std::string Reason);
   /// Ends a call with its answer.
   void complete(std::uint64_t Number, mesh_answer Answer);
   void cancel(std::uint64_t Number);
@@ -96,6 +101,7 @@
   node_id Node;
   address Peer;
   peer_state_listener &PeerState;
+  body_budget &Answers;
   peer_protocol Protocol;
   std::shared_ptr<frame_channel> Channel;
   std::unordered_map<std::uint64_t, pending_call> Pending;
--- a/tests/mesh/body_parts_test.cpp
+++ b/tests/mesh/body_parts_test.cpp
@@ -35,7 +35,8 @@
         Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
         Link(std::make_shared<peer_link>(
             Context, node_id("home"),
-            address{"127.0.0.1", Acceptor.local_endpoint().port()}, State)) {}
+            address{"127.0.0.1", Acceptor.local_endpoint().port()}, State,
+            Bodies)) {}
 
   static mesh_settings settings() {
     mesh_settings Settings;
@@ -122,6 +123,7 @@
   platform::operator_json_format Format;
   mesh_state State;
   tcp::acceptor Acceptor;
+  body_budget Bodies{2 * BodyBytes};
   std::shared_ptr<peer_link> Link;
   std::shared_ptr<frame_channel> Home;
   cancel_signal Cancel;
@@ -251,6 +253,43 @@
   });
 }
 
+// Guards against answers that are bounded each but not together, and against a
+// link that ends with one of them.
+BOOST_AUTO_TEST_CASE(an_answer_in_parts_holds_memory_as_it_arrives) {
+  played_home Peer;
+  Peer.run([&]() -> awaitable<void> {
+    std::optional<body_reservation> Others = Peer.Bodies.reserve(BodyBytes);
+    Peer.send("read", 0);
+    co_await until([&] { return Peer.callNumber(1) > 0; });
+    Peer.answerSecond(BodyBytes);
+    Peer.sendAnswerBody(BodyBytes / 2);
+    co_await until([&] {
+      return Peer.Bodies.reservedBytes() == BodyBytes + BodyBytes / 2;
+    });
+    // A large body leaves a part of the memory to small ones.
+    Peer.sendAnswerBody(BodyBytes / 2);
+    co_await until([&] { return Peer.Answers.contains("read"); });
+    BOOST_TEST((Peer.Answers["read"].Outcome == attempt_outcome::lost));
+    BOOST_TEST(Peer.Bodies.reservedBytes() == BodyBytes);
+    co_await until([&] { return Peer.count(frame_kind::cancel) == 1; });
+    BOOST_TEST(Peer.Link->isOpen());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_in_parts_holds_memory_until_it_is_dropped) {
+  played_home Peer;
+  Peer.run([&]() -> awaitable<void> {
+    Peer.send("read", 0);
+    co_await until([&] { return Peer.callNumber(1) > 0; });
+    Peer.answerSecond(BodyBytes);
+    Peer.sendAnswerBody(BodyBytes);
+    co_await until([&] { return Peer.Answers.contains("read"); });
+    BOOST_TEST(Peer.Bodies.reservedBytes() == BodyBytes);
+    Peer.Answers.clear();
+    BOOST_TEST(Peer.Bodies.reservedBytes() == 0u);
+  });
+}
+
 /// Checks a channel as often as a node does, until Time has passed after Start.
 void checkFor(frame_channel &Channel, instant Start, milliseconds Time) {
   for (milliseconds Passed{0}; Passed <= Time; Passed += milliseconds(100))
--- a/tests/mesh/config_transfer_test.cpp
+++ b/tests/mesh/config_transfer_test.cpp
@@ -103,7 +103,8 @@
   platform::operator_json_format Format;
   mesh_settings Settings;
   mesh_state State{Settings, Format};
-  peer_hub Hub{Context, State};
+  body_budget Bodies{1 << 20};
+  peer_hub Hub{Context, State, Bodies};
   scripted_peer First{Context, "first"};
   scripted_peer Second{Context, "second"};
   std::vector<home_record> Records;
--- a/tests/mesh/large_body_test.cpp
+++ b/tests/mesh/large_body_test.cpp
@@ -1,5 +1,8 @@
 // Tests large bodies on a connection between two nodes that carries other calls
 // as well.
+#include <algorithm>
+
+#include <boost/asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "mesh_fixture.h"
@@ -20,9 +23,11 @@
 /// answers with the size of a request's body, and to /kassa/SIZE with SIZE
 /// bytes.
 struct upload_mesh : mesh_fixture {
-  explicit upload_mesh(std::uint64_t HomeMemoryBytes = 256 << 20) {
+  explicit upload_mesh(std::uint64_t HomeMemoryBytes = 256 << 20,
+                       std::uint64_t EntryMemoryBytes = 256 << 20) {
     MaxBodyBytes = 64 * Megabyte;
     configure(1, {"desk", "kassa"}, 10.0);
+    MemoryBytes = EntryMemoryBytes;
     addNode("desk");
     MemoryBytes = HomeMemoryBytes;
     addNode("kassa", "zone-a", 16);
@@ -49,6 +54,26 @@
     start(Id, get("/kassa/" + std::to_string(Bytes), Id, 8'000));
   }
 
+  /// Asks for an answer of which only the first bytes are read; its status goes
+  /// to Results.
+  void askAndReadNothing(std::string Id, std::size_t Bytes) {
+    ++Started;
+    Unread.push_back(std::make_unique<tcp::socket>(context()));
+    asio::co_spawn(
+        context(),
+        [this, Id, Bytes, &Socket = *Unread.back()]() -> awaitable<void> {
+          co_await Socket.async_connect(toTcp(node(0).settings().Callers),
+                                        asio::use_awaitable);
+          co_await write(Socket,
+                         get("/kassa/" + std::to_string(Bytes), Id, 8'000));
+          std::string Start("HTTP/1.1 200");
+          co_await asio::async_read(Socket, asio::buffer(Start),
+                                    asio::use_awaitable);
+          Results[Id].Status = std::stoul(Start.substr(9));
+        },
+        asio::detached);
+  }
+
   awaitable<void> allEnded() {
     co_await until([this] { return Results.size() == Started; });
   }
@@ -72,6 +97,7 @@
   }
 
   std::size_t Started = 0;
+  std::vector<std::unique_ptr<tcp::socket>> Unread;
 };
 
 } // namespace
@@ -127,6 +153,31 @@
   });
 }
 
+// Guards against an entry node that uses up its memory for answers of other
+// nodes. Load: callers that ask for large answers and don't read them.
+BOOST_AUTO_TEST_CASE(unread_answers_of_other_nodes_fit_the_memory_for_bodies) {
+  constexpr unsigned Callers = 8;
+  constexpr std::size_t AnswerBytes = 12 * Megabyte;
+  constexpr std::uint64_t EntryMemory = 80 * Megabyte;
+  constexpr std::size_t MemoryForBodies = EntryMemory / 16 * 10;
+  upload_mesh Mesh(1'024 * Megabyte, EntryMemory);
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    for (unsigned Number = 0; Number < Callers; ++Number)
+      Mesh.askAndReadNothing("unread-" + std::to_string(Number), AnswerBytes);
+    co_await Mesh.allEnded();
+    auto Served = static_cast<std::size_t>(std::count_if(
+        Mesh.Results.begin(), Mesh.Results.end(),
+        [](const auto &Item) { return Item.second.Status == 200; }));
+    BOOST_TEST(Served > 0u);
+    BOOST_TEST(Served * AnswerBytes <= MemoryForBodies);
+    // Only these calls have failed, and not their link.
+    Mesh.download("small", 20'000);
+    co_await Mesh.allEnded();
+    BOOST_TEST(Mesh.Results["small"].Status == 200u);
+  });
+}
+
 // Guards against a node that uses up its memory for bodies that other nodes
 // send, and against calls that wait although their body can't be taken.
 BOOST_AUTO_TEST_CASE(
