End answers that are hardly read while connections are scarce

Cause: a crowd that asks for large answers and reads none of them kept the connections of a door until the time for writing an answer, 15 s, had passed. Change: answer_pace follows what a caller's machine takes; crowd_control ends, beside slow requests, answers below 1 KiB/s for 2 s, the one that got least for its age first. In calm nothing is observed or ended.

--- a/src/chivebeam/mesh/caller_listener.cpp
+++ b/src/chivebeam/mesh/caller_listener.cpp
@@ -12,7 +12,7 @@
 /// Interval at which connections are looked for that can be closed.
 constexpr milliseconds RoomInterval{50};
 constexpr milliseconds AcceptRetryDelay{20};
-/// Slow requests that are ended at once.
+/// Slow requests and answers that are ended at once.
 constexpr std::size_t MaxEndedAtOnce = 32;
 
 } // namespace
@@ -45,22 +45,32 @@
 void caller_listener::makeRoom(instant Now) {
   Sessions.Metrics.count("sessions_crowded");
   closeIdle();
-  std::vector<caller_session *> Arriving;
-  std::vector<request_progress> Progress;
+  std::vector<caller_session *> Moving;
+  std::vector<transfer_progress> Progress;
   for (caller_session *Session : Open)
-    if (auto Request = Session->arrivingRequest(Now)) {
-      Arriving.push_back(Session);
-      Progress.push_back(*Request);
+    if (auto Transfer = Session->transfer(Now)) {
+      Moving.push_back(Session);
+      Progress.push_back(*Transfer);
     }
   std::vector<std::size_t> Slowest =
       crowd_control::slowest(Progress, MaxEndedAtOnce);
-  for (std::size_t Index : Slowest)
-    Arriving[Index]->endArriving();
-  if (Slowest.empty())
-    return;
-  Sessions.Metrics.count("slow_requests_ended");
+  std::size_t Answers = 0;
+  for (std::size_t Index : Slowest) {
+    Moving[Index]->endTransfer();
+    Answers += Progress[Index].IsAnswer ? 1 : 0;
+  }
+  if (!Slowest.empty())
+    noteEnded(Slowest.size() - Answers, Answers);
+}
+
+void caller_listener::noteEnded(std::size_t Requests, std::size_t Answers) {
+  if (Requests > 0)
+    Sessions.Metrics.count("slow_requests_ended");
+  if (Answers > 0)
+    Sessions.Metrics.count("slow_answers_ended");
   log_event("slow_requests_ended")
-      .add("requests", Slowest.size())
+      .add("requests", Requests)
+      .add("answers", Answers)
       .add("sessions", Open.size());
 }
 
--- a/src/chivebeam/mesh/caller_listener.h
+++ b/src/chivebeam/mesh/caller_listener.h
@@ -36,8 +36,10 @@
 
 private:
   awaitable<void> acceptLoop();
-  /// Closes idle connections and ends slow requests.
+  /// Closes idle connections and ends slow requests and answers.
   void makeRoom(instant Now);
+  /// Logs and counts what was ended.
+  void noteEnded(std::size_t Requests, std::size_t Answers);
   void openSession(tcp::socket Socket);
   awaitable<void> runSession(tcp::socket Socket);
 
--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "data/request_body.h"
@@ -59,19 +60,29 @@
   Reader.interrupt();
 }
 
-std::optional<request_progress>
-caller_session::arrivingRequest(instant Now) const {
+std::optional<transfer_progress> caller_session::transfer(instant Now) {
+  if (Writing && !Gone)
+    return Pace.observe(Now, takenBytes());
   if (!ArrivingSince || !Answers.isEmpty())
     return std::nullopt;
-  return request_progress{Reader.receivedBytes() - BytesBefore,
-                          Now - *ArrivingSince};
+  return transfer_progress{Reader.receivedBytes() - BytesBefore,
+                           Now - *ArrivingSince};
 }
 
-void caller_session::endArriving() {
+void caller_session::endTransfer() {
+  if (Writing)
+    return leave();
   Ended = true;
   Reader.interrupt();
 }
 
+std::uint64_t caller_session::takenBytes() {
+  int Waiting = 0;
+  ::ioctl(Stream.socket().native_handle(), TIOCOUTQ, &Waiting);
+  return SentBytes -
+         std::min(SentBytes, static_cast<std::uint64_t>(std::max(Waiting, 0)));
+}
+
 void caller_session::extendIdleTime() {
   if (!isBusy() && IdleSince + limits().IdleTimeout > IdleUntil)
     Reader.interrupt();
@@ -324,6 +335,7 @@
       leave();
   }
   Writing = false;
+  Pace.reset();
 }
 
 void caller_session::answerWritten(bool Keep) {
@@ -359,7 +371,12 @@
     Parts[1] = asio::buffer(*Body);
   error_code Code;
   Stream.expires_after(AnswerWriteTimeout);
-  co_await asio::async_write(Stream, Parts, orError(Code));
+  auto CountSent = [&, Before = SentBytes](const error_code &Failed,
+                                           std::size_t Sent) {
+    SentBytes = Before + Sent;
+    return asio::transfer_all()(Failed, Sent);
+  };
+  co_await asio::async_write(Stream, Parts, CountSent, orError(Code));
   Stream.expires_never();
   co_return !Code;
 }
--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "data/disconnect_watcher.h"
-#include "limits/crowd_control.h"
+#include "limits/answer_pace.h"
 #include "mesh/answer_queue.h"
 #include "mesh/body_budget.h"
 #include "mesh/entry_router.h"
@@ -34,11 +34,12 @@
   /// Closes the connection if it is waiting for a request and no byte of it has
   /// arrived.
   void closeIfIdle();
-  /// Returns the progress of the request that is arriving; empty if none is, or
-  /// if other requests of the connection are not answered yet.
-  std::optional<request_progress> arrivingRequest(instant Now) const;
-  /// Refuses the request that is arriving, to free the connection.
-  void endArriving();
+  /// Returns the progress of the answer that is being written, or of the only
+  /// request if it is arriving; empty if calls run.
+  std::optional<transfer_progress> transfer(instant Now);
+  /// Refuses the request that is arriving, or gives up the answer that is being
+  /// written, to free the connection. \pre transfer returned a value.
+  void endTransfer();
   /// Applies the idle timeout of a new configuration to a connection that is
   /// waiting for a request. A wait is extended but never shortened, because the
   /// caller may not know of the change yet.
@@ -76,6 +77,8 @@
   awaitable<void> writeAnswers();
   awaitable<bool> write(const pending_answer &Answer, bool Keep);
   void answerWritten(bool Keep);
+  /// Returns how many bytes of answers the caller's machine has taken.
+  std::uint64_t takenBytes();
   /// Ends the connection and all its calls: the caller is gone.
   void leave();
   own_answer answerTo(const error_code &Code) const;
@@ -88,6 +91,8 @@
   disconnect_watcher Watch; ///< while no request is read
   answer_queue Answers;
   asio::steady_timer Changed; ///< cancelled at a change of Answers or OpenCalls
+  answer_pace Pace;           ///< while answers are written
+  std::uint64_t SentBytes = 0; ///< of answers, to the kernel
   unsigned OpenCalls = 0;
   bool Awaiting = false; ///< the first bytes of a request are awaited
   bool Writing = false;
--- /dev/null
+++ b/src/libchivebeam/limits/answer_pace.cpp
@@ -0,0 +1,20 @@
+#include "limits/answer_pace.h"
+
+#include <algorithm>
+
+namespace chivebeam {
+
+transfer_progress answer_pace::observe(instant Now, std::uint64_t TakenBytes) {
+  if (!Mark)
+    Mark = mark{Now, TakenBytes};
+  transfer_progress Progress{std::max(TakenBytes, Mark->TakenBytes) -
+                                 Mark->TakenBytes,
+                             Now - Mark->At, true};
+  if (Progress.Bytes > 0 && !crowd_control::isSlow(Progress)) {
+    Mark = mark{Now, TakenBytes};
+    return {0, microseconds(0), true};
+  }
+  return Progress;
+}
+
+} // namespace chivebeam
--- a/src/libchivebeam/limits/crowd_control.h
+++ b/src/libchivebeam/limits/crowd_control.h
@@ -8,10 +8,11 @@
 
 namespace chivebeam {
 
-/// What a connection has done since its current request began to arrive.
-struct request_progress {
-  std::uint64_t ReceivedBytes = 0;
+/// How far a client is with its request, or with taking an answer.
+struct transfer_progress {
+  std::uint64_t Bytes = 0; ///< in this time
   microseconds Age{0};
+  bool IsAnswer = false;
 };
 
 /// Number of connections that may be open.
@@ -30,15 +31,21 @@
 /// new ones. Stateless, so thread safe.
 class crowd_control {
 public:
-  /// A request that arrives at a lower rate may be ended for a new connection.
+  /// A transfer at a lower rate may be ended for a new connection.
   static constexpr std::uint64_t MinBytesPerSecond = 1 << 10;
   /// A request is not ended before this age.
   static constexpr milliseconds MinAge{500};
-
-  /// Returns the requests to end, at most MaxCount, the one that has received
-  /// the least for its age first.
+  /// The same for an answer. A client that lost a packet takes nothing for a
+  /// while, and one that reads slowly makes room in steps.
+  static constexpr milliseconds MinAnswerAge{2'000};
+
+  /// True if a transfer is below the rate, whatever its age.
+  static bool isSlow(const transfer_progress &Transfer);
+  /// Returns the transfers to end, at most MaxCount, the one that moved the
+  /// least for its age first.
   static std::vector<std::size_t>
-  slowest(const std::vector<request_progress> &Requests, std::size_t MaxCount);
+  slowest(const std::vector<transfer_progress> &Transfers,
+          std::size_t MaxCount);
 };
 
 } // namespace chivebeam
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -159,6 +159,7 @@
   Settings.Store = Store->listen();
   Settings.LinkBytesPerSecond = LinkBytesPerSecond;
   Settings.MemoryBytes = MemoryBytes;
+  Settings.MaxDescriptors = MaxDescriptors;
   Settings.Hedging = Hedging;
   Settings.RetryBudget.Slack = 100;
   Stopped.push_back(false);
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -118,7 +118,8 @@
   double LinkBytesPerSecond = 0; ///< of nodes that are added after it is set
   /// Memory of nodes that are added after it is set.
   std::uint64_t MemoryBytes = 256 << 20;
-  /// Of nodes that are added after it is set.
+  /// Of nodes that are added after they are set.
+  unsigned MaxDescriptors = 1'024;
   hedge_limits Hedging;
   /// Limits in configurations that are stored after they are set.
   double IdleTimeoutS = 15;
