Let operators set the limits for clients

Cause: the parts of the memory for bodies, the reserved descriptors, the least rate of a client and the size of a small body were constants. Change: door_limits holds them; options of chivebeam sidecar set them, since the platform's settings file has no place for them. A value out of range is refused with the option, the range and the remedy. The defaults are the constants of before.

--- a/src/chivebeam/mesh/body_budget.h
+++ b/src/chivebeam/mesh/body_budget.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "limits/body_share.h"
+#include "limits/door_limits.h"
 
 namespace chivebeam {
 
@@ -17,8 +18,10 @@
 /// safe.
 class body_budget {
 public:
-  explicit body_budget(std::uint64_t MaxBytes)
-      : Account(std::make_shared<account>(account{MaxBytes})) {}
+  /// \param SmallBytes larger bodies leave a part to those up to this size
+  explicit body_budget(std::uint64_t MaxBytes,
+                       std::uint64_t SmallBytes = door_limits().SmallBodyBytes)
+      : Account(std::make_shared<account>(account{MaxBytes, SmallBytes})) {}
   body_budget(const body_budget &) = delete;
   body_budget &operator=(const body_budget &) = delete;
 
@@ -30,6 +33,7 @@
   friend class body_reservation;
   struct account {
     std::uint64_t MaxBytes;
+    std::uint64_t SmallBytes;
     std::uint64_t ReservedBytes = 0;
   };
 
@@ -58,7 +62,8 @@
   bool growTo(std::uint64_t NewBytes) {
     if (NewBytes <= Bytes)
       return true;
-    if (!mayHold(Account->MaxBytes, Account->ReservedBytes, Bytes, NewBytes))
+    if (!mayHold(Account->MaxBytes, Account->ReservedBytes, Bytes, NewBytes,
+                 Account->SmallBytes))
       return false;
     Account->ReservedBytes += NewBytes - std::exchange(Bytes, NewBytes);
     return true;
--- a/src/chivebeam/mesh/caller_listener.cpp
+++ b/src/chivebeam/mesh/caller_listener.cpp
@@ -24,7 +24,8 @@
 awaitable<void> caller_listener::acceptLoop() {
   while (Acceptor.is_open()) {
     // New connections wait in the queue of the kernel meanwhile.
-    if (Open.size() >= connection_limit::ofCallers(Settings.MaxDescriptors)) {
+    if (Open.size() >=
+        connection_limit::ofCallers(Settings.MaxDescriptors, Settings.Doors)) {
       makeRoom(currentTime());
       co_await sleepFor(RoomInterval);
       continue;
@@ -53,7 +54,7 @@
       Progress.push_back(*Transfer);
     }
   std::vector<std::size_t> Slowest =
-      crowd_control::slowest(Progress, MaxEndedAtOnce);
+      crowd_control::slowest(Progress, MaxEndedAtOnce, Settings.Doors);
   std::size_t Answers = 0;
   for (std::size_t Index : Slowest) {
     Moving[Index]->endTransfer();
--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -62,7 +62,7 @@
 
 std::optional<transfer_progress> caller_session::transfer(instant Now) {
   if (Writing && !Gone)
-    return Pace.observe(Now, takenBytes());
+    return Pace.observe(Now, takenBytes(), Shared.Limits);
   if (!ArrivingSince || !Answers.isEmpty())
     return std::nullopt;
   return transfer_progress{Reader.receivedBytes() - BytesBefore,
--- a/src/chivebeam/mesh/caller_session.h
+++ b/src/chivebeam/mesh/caller_session.h
@@ -15,7 +15,8 @@
   const call_protocol &Protocol;
   mesh_state &State;
   mesh_metrics &Metrics;
-  body_budget &Bodies;   ///< of requests
+  body_budget &Bodies; ///< of requests
+  const door_limits &Limits;
   bool Draining = false; ///< answers carry Connection: close
 };
 
--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -31,10 +31,6 @@
 /// A suspension of the machine is handled if it lasted at least this long. The
 /// steady clock does not count this time.
 constexpr milliseconds MinSuspension{300};
-/// Parts of the memory of the process, in sixteenths.
-constexpr std::uint64_t MemoryParts = 16;
-constexpr std::uint64_t RequestBodyParts = 7;
-constexpr std::uint64_t AnswerBodyParts = 3;
 constexpr std::size_t MaxControlBody = 4 << 10;
 /// Of each address that serves readiness or metrics.
 constexpr std::size_t MaxControlConnections = 64;
@@ -53,8 +49,12 @@
     : Settings(std::move(NodeSettings)),
       Dependencies(std::move(NodeDependencies)), Context(IoContext),
       Signals(Context, SIGTERM, SIGINT, SIGHUP),
-      Bodies{body_budget(Settings.MemoryBytes / MemoryParts * RequestBodyParts),
-             body_budget(Settings.MemoryBytes / MemoryParts * AnswerBodyParts)},
+      Bodies{body_budget(door_limits::part(Settings.MemoryBytes,
+                                           Settings.Doors.RequestMemoryPercent),
+                         Settings.Doors.SmallBodyBytes),
+             body_budget(door_limits::part(Settings.MemoryBytes,
+                                           Settings.Doors.AnswerMemoryPercent),
+                         Settings.Doors.SmallBodyBytes)},
       State(Settings, *Dependencies.DocumentFormat),
       Home(Context, *Dependencies.Calls, State, Bodies.Answers,
            Settings.LinkBytesPerSecond),
@@ -94,7 +94,7 @@
       Reliance(Settings.FirstStart, std::hash<node_id>()(Settings.Node)),
       Callers(Context, Settings,
               session_context{Router, *Dependencies.Calls, State, Metrics,
-                              Bodies.Requests}),
+                              Bodies.Requests, Settings.Doors}),
       PeerAcceptor(Context),
       Readiness(
           Context, MaxControlBody,
--- a/src/chivebeam/mesh/mesh_settings.h
+++ b/src/chivebeam/mesh/mesh_settings.h
@@ -6,6 +6,7 @@
 #include "base/address.h"
 #include "base/names.h"
 #include "base/units.h"
+#include "limits/door_limits.h"
 #include "routing/hedge_policy.h"
 #include "routing/windowed_retry_budget.h"
 
@@ -32,6 +33,7 @@
   /// that it takes.
   double ColdStartFactor = 1;
   hedge_limits Hedging;
+  door_limits Doors;
   std::uint64_t MemoryBytes = 256 << 20; ///< of this process
   unsigned MaxDescriptors = 1'024;
   double LinkBytesPerSecond = 0; ///< of this machine; zero: unknown
--- a/src/libchivebeam/limits/answer_pace.h
+++ b/src/libchivebeam/limits/answer_pace.h
@@ -14,7 +14,8 @@
   /// began. Returns what it took since it last kept the rate of crowd_control:
   /// what its kernel took at first says nothing about later. Fewer bytes than
   /// before count as none. \pre Now does not fall between two calls
-  transfer_progress observe(instant Now, std::uint64_t TakenBytes);
+  transfer_progress observe(instant Now, std::uint64_t TakenBytes,
+                            const door_limits &Limits);
   /// Forgets what was noted: no answer waits any more.
   void reset() { Mark.reset(); }
 
--- a/tests/limits/limits_test.cpp
+++ b/tests/limits/limits_test.cpp
@@ -7,21 +7,28 @@
 
 using namespace chivebeam;
 
+namespace {
+
+const door_limits Limits;
+const std::uint64_t SmallBodyBytes = Limits.SmallBodyBytes;
+
+} // namespace
+
 // Load: a crowd of large bodies that never end.
 BOOST_AUTO_TEST_CASE(large_bodies_leave_memory_to_small_ones) {
   constexpr std::uint64_t Max = 64 << 20;
   constexpr std::uint64_t LargeLimit = Max - Max / SmallBodyPart;
-  BOOST_TEST(mayHold(Max, 0, 0, LargeLimit));
-  BOOST_TEST(!mayHold(Max, 0, 0, LargeLimit + 1));
-  BOOST_TEST(!mayHold(Max, LargeLimit, 0, SmallBodyBytes + 1));
-  BOOST_TEST(mayHold(Max, LargeLimit, 0, SmallBodyBytes));
-  BOOST_TEST(!mayHold(Max, Max, 0, 1));
+  BOOST_TEST(mayHold(Max, 0, 0, LargeLimit, SmallBodyBytes));
+  BOOST_TEST(!mayHold(Max, 0, 0, LargeLimit + 1, SmallBodyBytes));
+  BOOST_TEST(!mayHold(Max, LargeLimit, 0, SmallBodyBytes + 1, SmallBodyBytes));
+  BOOST_TEST(mayHold(Max, LargeLimit, 0, SmallBodyBytes, SmallBodyBytes));
+  BOOST_TEST(!mayHold(Max, Max, 0, 1, SmallBodyBytes));
 }
 
 // Load: a body in chunks that grows while others wait.
 BOOST_AUTO_TEST_CASE(a_growing_body_counts_once) {
-  BOOST_TEST(mayHold(16 << 20, 10 << 20, 10 << 20, 15 << 20));
-  BOOST_TEST(!mayHold(16 << 20, 12 << 20, 10 << 20, 14 << 20));
+  BOOST_TEST(mayHold(16 << 20, 10 << 20, 10 << 20, 15 << 20, SmallBodyBytes));
+  BOOST_TEST(!mayHold(16 << 20, 12 << 20, 10 << 20, 14 << 20, SmallBodyBytes));
 }
 
 // Load: a crowd that sends a byte at a time, beside an upload on a slow link
@@ -32,10 +39,10 @@
                                           {1, milliseconds(100)},
                                           {10, seconds(2)},
                                           {300, seconds(1)}};
-  BOOST_TEST(crowd_control::slowest(Requests, 9) ==
+  BOOST_TEST(crowd_control::slowest(Requests, 9, Limits) ==
                  (std::vector<std::size_t>{3, 1, 4}),
              boost::test_tools::per_element());
-  BOOST_TEST(crowd_control::slowest(Requests, 1).size() == 1u);
+  BOOST_TEST(crowd_control::slowest(Requests, 1, Limits).size() == 1u);
 }
 
 // Load: a crowd that reads large answers at 0 and 200 bytes a second behind
@@ -54,16 +61,17 @@
     // What the kernel of a client takes at first is not read.
     std::uint64_t Buffered = Ms < 200 ? 0 : Buffer;
     Transfers = {
-        Stopped.observe(Now, Buffered),
-        Slow.observe(Now, Buffered + Ms / 5),
-        InSteps.observe(Now, Buffered + Ms / 1'500 * 4'096),
-        Lossy.observe(Now, Buffered + std::min<std::uint64_t>(Ms, 2'800) * 100),
+        Stopped.observe(Now, Buffered, Limits),
+        Slow.observe(Now, Buffered + Ms / 5, Limits),
+        InSteps.observe(Now, Buffered + Ms / 1'500 * 4'096, Limits),
+        Lossy.observe(Now, Buffered + std::min<std::uint64_t>(Ms, 2'800) * 100,
+                      Limits),
         {300, seconds(1)},
         {2'000, seconds(1)}};
     if (Ms < 2'000)
-      BOOST_TEST(crowd_control::slowest(Transfers, 1).front() == 4u);
+      BOOST_TEST(crowd_control::slowest(Transfers, 1, Limits).front() == 4u);
   }
-  BOOST_TEST(crowd_control::slowest(Transfers, 9) ==
+  BOOST_TEST(crowd_control::slowest(Transfers, 9, Limits) ==
                  (std::vector<std::size_t>{0, 1, 4}),
              boost::test_tools::per_element());
 }
@@ -71,14 +79,14 @@
 // Load: an answer that waits long after one that was read at once.
 BOOST_AUTO_TEST_CASE(the_pace_of_an_earlier_answer_does_not_count) {
   answer_pace Pace;
-  Pace.observe(instant(), 100);
+  Pace.observe(instant(), 100, Limits);
   Pace.reset();
-  BOOST_TEST(
-      (Pace.observe(instant() + seconds(9), 100).Age == microseconds(0)));
+  BOOST_TEST((Pace.observe(instant() + seconds(9), 100, Limits).Age ==
+              microseconds(0)));
 }
 
 // Load: more clients than descriptors, on a large and on a small machine.
 BOOST_AUTO_TEST_CASE(connections_fit_the_descriptors) {
-  BOOST_TEST(connection_limit::ofCallers(4'100) == 3'600u);
-  BOOST_TEST(connection_limit::ofCallers(600) == 150u);
+  BOOST_TEST(connection_limit::ofCallers(4'100, Limits) == 3'600u);
+  BOOST_TEST(connection_limit::ofCallers(600, Limits) == 150u);
 }
