Make one account of the memory for bodies of calls and of answers

Cause: a node without large answers could not use their part of the memory for calls, nor the other way round. Change: body_account decides over both kinds. Each keeps three quarters of its part as a floor, and a sixteenth of it for its own small bodies, which large ones of neither kind can take. The tests of the doors also send a probe to the readiness, the metrics and the reports beside each crowd.

--- a/src/chivebeam/mesh/body_budget.h
+++ b/src/chivebeam/mesh/body_budget.h
@@ -1,43 +1,33 @@
 #pragma once
 
-#include <algorithm>
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include "limits/body_share.h"
-#include "limits/door_limits.h"
+#include "limits/body_account.h"
 
 namespace chivebeam {
 
 class body_reservation;
 
-/// Limits the bytes of bodies that are held in memory together. Not thread
+/// Limits the bodies of one kind that are held in memory together. Not thread
 /// safe.
 class body_budget {
 public:
-  /// \param SmallBytes larger bodies leave a part to those up to this size
-  explicit body_budget(std::uint64_t MaxBytes,
-                       std::uint64_t SmallBytes = door_limits().SmallBodyBytes)
-      : Account(std::make_shared<account>(account{MaxBytes, SmallBytes})) {}
+  body_budget(std::shared_ptr<body_account> Account, body_kind Kind)
+      : Account(std::move(Account)), Kind(Kind) {}
   body_budget(const body_budget &) = delete;
   body_budget &operator=(const body_budget &) = delete;
 
   /// Reserves memory for a body; empty if there is not enough left.
   std::optional<body_reservation> reserve(std::uint64_t Bytes);
-  std::uint64_t reservedBytes() const { return Account->ReservedBytes; }
+  std::uint64_t reservedBytes() const { return Account->usedBytes(Kind); }
 
 private:
-  friend class body_reservation;
-  struct account {
-    std::uint64_t MaxBytes;
-    std::uint64_t SmallBytes;
-    std::uint64_t ReservedBytes = 0;
-  };
-
-  std::shared_ptr<account> Account; ///< reservations may outlive the budget
+  std::shared_ptr<body_account>
+      Account; ///< reservations may outlive the budget
+  body_kind Kind;
 };
 
 /// Bytes that are reserved in a budget until the end of this object. Not thread
@@ -45,16 +35,17 @@
 class body_reservation {
 public:
   body_reservation(body_reservation &&Other) noexcept
-      : Account(std::move(Other.Account)),
+      : Account(std::move(Other.Account)), Kind(Other.Kind),
         Bytes(std::exchange(Other.Bytes, 0)) {}
   body_reservation &operator=(body_reservation &&Other) noexcept {
     std::swap(Account, Other.Account);
+    std::swap(Kind, Other.Kind);
     std::swap(Bytes, Other.Bytes);
     return *this;
   }
   ~body_reservation() {
     if (Account)
-      Account->ReservedBytes -= Bytes;
+      Account->resize(Kind, Bytes, 0);
   }
 
   /// Raises the reservation to this size; returns false, and changes nothing,
@@ -62,10 +53,9 @@
   bool growTo(std::uint64_t NewBytes) {
     if (NewBytes <= Bytes)
       return true;
-    if (!mayHold(Account->MaxBytes, Account->ReservedBytes, Bytes, NewBytes,
-                 Account->SmallBytes))
+    if (!Account->resize(Kind, Bytes, NewBytes))
       return false;
-    Account->ReservedBytes += NewBytes - std::exchange(Bytes, NewBytes);
+    Bytes = NewBytes;
     return true;
   }
 
@@ -73,22 +63,31 @@
 
 private:
   friend class body_budget;
-  explicit body_reservation(std::shared_ptr<body_budget::account> Owner)
-      : Account(std::move(Owner)) {}
+  body_reservation(std::shared_ptr<body_account> Owner, body_kind OfKind)
+      : Account(std::move(Owner)), Kind(OfKind) {}
 
-  std::shared_ptr<body_budget::account> Account;
+  std::shared_ptr<body_account> Account;
+  body_kind Kind;
   std::uint64_t Bytes = 0;
 };
 
 /// Limits the bodies of a process. Not thread safe.
 struct body_memory {
+  explicit body_memory(const body_account &Whole)
+      : body_memory(std::make_shared<body_account>(Whole)) {}
+
   body_budget Requests; ///< while anything holds them
-  body_budget Answers;  ///< from the backend server to the last byte sent
+  body_budget Answers;  ///< until their last byte is sent
+
+private:
+  explicit body_memory(const std::shared_ptr<body_account> &Account)
+      : Requests(Account, body_kind::request),
+        Answers(Account, body_kind::answer) {}
 };
 
 inline std::optional<body_reservation>
 body_budget::reserve(std::uint64_t Bytes) {
-  body_reservation Reservation(Account);
+  body_reservation Reservation(Account, Kind);
   if (!Reservation.growTo(Bytes))
     return std::nullopt;
   return Reservation;
--- a/tests/doors/doors_fixture.cpp
+++ b/tests/doors/doors_fixture.cpp
@@ -235,17 +235,25 @@
 }
 
 awaitable<unsigned> doors_fixture::ordinaryCall() {
+  std::string Body(OrdinaryBytes, 'o');
+  co_return co_await statusOf(
+      door::route, head(door::route) + "Content-Length: " +
+                       std::to_string(Body.size()) + "\r\n\r\n" + Body);
+}
+
+awaitable<unsigned> doors_fixture::probe(door At) {
+  co_return co_await statusOf(At, head(At, "GET") + "\r\n");
+}
+
+awaitable<unsigned> doors_fixture::statusOf(door At, std::string Request) {
   auto Caller = std::make_shared<caller>(Context);
   asio::steady_timer Limit(Context, CallTimeout);
   Limit.async_wait([Caller](error_code Code) {
     if (!Code)
       Caller->close();
   });
-  co_await Caller->connect(addressOf(door::route));
-  std::string Body(OrdinaryBytes, 'o');
-  auto Answer = co_await Caller->call(
-      head(door::route) + "Content-Length: " + std::to_string(Body.size()) +
-      "\r\n\r\n" + Body);
+  co_await Caller->connect(addressOf(At));
+  auto Answer = co_await Caller->call(std::move(Request));
   co_return Answer ? Answer->result_int() : 0;
 }
 
@@ -340,6 +348,13 @@
       co_await settle();
       unsigned Beside = co_await ordinaryCall();
       BOOST_TEST(Beside == 200u);
+      unsigned Probed = co_await probe(door::ready);
+      BOOST_TEST(Probed == 200u);
+      Probed = co_await probe(door::metrics);
+      BOOST_TEST(Probed == 200u);
+      // It asks for a backend server that isn't there.
+      Probed = co_await probe(door::reports);
+      BOOST_TEST(Probed != 0u);
       for (const auto &Socket : Crowd)
         Socket->close();
       unsigned After = co_await ordinaryCall();
--- a/tests/doors/doors_fixture.h
+++ b/tests/doors/doors_fixture.h
@@ -44,8 +44,8 @@
 
   /// Sends a crowd to a door of a new process, and checks that the process
   /// lives, that its memory and its descriptors stay below the stated limits
-  /// and that it answers an ordinary request while the crowd is there, and
-  /// another one when it has left.
+  /// and that it answers an ordinary request and probes while the crowd is
+  /// there, and another request when it has left.
   void check(door At, const crowd_client &Client, unsigned Count);
   /// Sends one request in calm and returns the status of its answer.
   unsigned checkOne(crowd_client Request);
@@ -68,6 +68,10 @@
   awaitable<void> settle();
   /// Returns the status of the answer to an ordinary request; 0 if none came.
   awaitable<unsigned> ordinaryCall();
+  /// Returns the status of the answer to a request at the readiness, metrics
+  /// or reports; 0 if none came.
+  awaitable<unsigned> probe(door At);
+  awaitable<unsigned> statusOf(door At, std::string Request);
   void checkBounds();
 
   asio::io_context Context{1};
--- a/tests/limits/limits_test.cpp
+++ b/tests/limits/limits_test.cpp
@@ -2,7 +2,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include "limits/answer_pace.h"
-#include "limits/body_share.h"
 #include "limits/crowd_control.h"
 
 using namespace chivebeam;
@@ -10,27 +9,9 @@
 namespace {
 
 const door_limits Limits;
-const std::uint64_t SmallBodyBytes = Limits.SmallBodyBytes;
 
 } // namespace
 
-// Load: a crowd of large bodies that never end.
-BOOST_AUTO_TEST_CASE(large_bodies_leave_memory_to_small_ones) {
-  constexpr std::uint64_t Max = 64 << 20;
-  constexpr std::uint64_t LargeLimit = Max - Max / SmallBodyPart;
-  BOOST_TEST(mayHold(Max, 0, 0, LargeLimit, SmallBodyBytes));
-  BOOST_TEST(!mayHold(Max, 0, 0, LargeLimit + 1, SmallBodyBytes));
-  BOOST_TEST(!mayHold(Max, LargeLimit, 0, SmallBodyBytes + 1, SmallBodyBytes));
-  BOOST_TEST(mayHold(Max, LargeLimit, 0, SmallBodyBytes, SmallBodyBytes));
-  BOOST_TEST(!mayHold(Max, Max, 0, 1, SmallBodyBytes));
-}
-
-// Load: a body in chunks that grows while others wait.
-BOOST_AUTO_TEST_CASE(a_growing_body_counts_once) {
-  BOOST_TEST(mayHold(16 << 20, 10 << 20, 10 << 20, 15 << 20, SmallBodyBytes));
-  BOOST_TEST(!mayHold(16 << 20, 12 << 20, 10 << 20, 14 << 20, SmallBodyBytes));
-}
-
 // Load: a crowd that sends a byte at a time, beside an upload on a slow link
 // and a request that has just begun.
 BOOST_AUTO_TEST_CASE(the_request_that_moves_least_is_ended_first) {
--- a/tests/mesh/body_parts_test.cpp
+++ b/tests/mesh/body_parts_test.cpp
@@ -123,7 +123,9 @@
   platform::operator_json_format Format;
   mesh_state State;
   tcp::acceptor Acceptor;
-  body_budget Bodies{2 * BodyBytes};
+  body_memory Memory{
+      body_account(0, 2 * BodyBytes, door_limits().SmallBodyBytes)};
+  body_budget &Bodies = Memory.Answers;
   std::shared_ptr<peer_link> Link;
   std::shared_ptr<frame_channel> Home;
   cancel_signal Cancel;
--- a/tests/mesh/config_transfer_test.cpp
+++ b/tests/mesh/config_transfer_test.cpp
@@ -103,8 +103,8 @@
   platform::operator_json_format Format;
   mesh_settings Settings;
   mesh_state State{Settings, Format};
-  body_budget Bodies{1 << 20};
-  peer_hub Hub{Context, State, Bodies};
+  body_memory Memory{body_account(1 << 20, door_limits())};
+  peer_hub Hub{Context, State, Memory.Answers};
   scripted_peer First{Context, "first"};
   scripted_peer Second{Context, "second"};
   std::vector<home_record> Records;
--- a/tests/mesh/peer_link_test.cpp
+++ b/tests/mesh/peer_link_test.cpp
@@ -33,10 +33,11 @@
   Settings.Node = node_id("entry");
   mesh_state State(Settings, Format);
   tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
-  body_budget Bodies(1 << 20);
+  body_memory Memory(body_account(1 << 20, door_limits()));
   auto Link = std::make_shared<peer_link>(
       Context, node_id("home"),
-      address{"127.0.0.1", Acceptor.local_endpoint().port()}, State, Bodies);
+      address{"127.0.0.1", Acceptor.local_endpoint().port()}, State,
+      Memory.Answers);
   std::shared_ptr<frame_channel> Server;
   std::vector<peer_frame> Received;
   std::map<std::string, mesh_answer> Answers;
@@ -104,8 +105,8 @@
   mesh_settings Settings;
   Settings.Node = node_id("entry");
   mesh_state State(Settings, Format);
-  body_budget Bodies(1 << 20);
-  peer_hub Hub(Context, State, Bodies);
+  body_memory Memory(body_account(1 << 20, door_limits()));
+  peer_hub Hub(Context, State, Memory.Answers);
   tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
   home_record Home;
   Home.Node = node_id("home");
