Bound the requests that run at readiness, metrics and reports

Cause: a new connection was taken beyond the bound of 64 if all connections ran a request, which reports do for up to 700 ms after a start. Change: the new connection is closed then. A test shows that a crowd that stops half-way keeps out no probe, so the 60 s for a request stay as they are.

--- a/src/chivebeam/net/http_service.cpp
+++ b/src/chivebeam/net/http_service.cpp
@@ -67,8 +67,8 @@
       co_await sleepFor(AcceptRetryDelay);
       continue;
     }
-    if (Open.size() >= MaxConnections)
-      makeRoom();
+    if (Open.size() >= MaxConnections && !makeRoom())
+      continue;
     auto Connection = std::make_shared<connection>(
         connection{beast::tcp_stream(std::move(Socket))});
     Open.push_back(Connection);
@@ -76,14 +76,15 @@
   }
 }
 
-void http_service::makeRoom() {
+bool http_service::makeRoom() {
   auto Oldest =
       std::find_if(Open.begin(), Open.end(),
                    [](const auto &Candidate) { return !Candidate->Running; });
   if (Oldest == Open.end())
-    return;
+    return false;
   (*Oldest)->Stream.close();
   Open.erase(Oldest);
+  return true;
 }
 
 awaitable<void> http_service::serve(std::shared_ptr<connection> Connection) {
--- a/src/chivebeam/net/http_service.h
+++ b/src/chivebeam/net/http_service.h
@@ -18,7 +18,8 @@
 
   static constexpr std::size_t Unlimited = ~std::size_t{0};
 
-  /// Connections beyond MaxConnections end the oldest one that runs no request.
+  /// Connections beyond MaxConnections end the oldest one that runs no request,
+  /// or are closed if all run one.
   /// \pre Context outlives the service.
   http_service(asio::io_context &Context, std::size_t MaxBodyBytes,
                handler Handler, std::size_t MaxConnections = Unlimited);
@@ -35,7 +36,9 @@
   };
 
   awaitable<void> acceptLoop();
-  void makeRoom();
+  /// Closes the oldest connection that runs no request; returns false if there
+  /// is none.
+  bool makeRoom();
   awaitable<void> serve(std::shared_ptr<connection> Connection);
 
   asio::io_context &Context;
