Give the bench of bodies an account of memory

Cause: a link now takes the memory for answers, and bodies_bench makes one. Change: it passes an account of 256 MB, as a node has by default. Result: bodies_bench builds; it was not run.

--- a/bench/bodies_bench.cpp
+++ b/bench/bodies_bench.cpp
@@ -55,8 +55,9 @@
         RelayAcceptor(Context, anyPort()) {
     tcp::endpoint Target =
         IsSlow ? RelayAcceptor.local_endpoint() : HomeAcceptor.local_endpoint();
-    Link = std::make_shared<peer_link>(
-        Context, node_id("home"), address{"127.0.0.1", Target.port()}, State);
+    Link = std::make_shared<peer_link>(Context, node_id("home"),
+                                       address{"127.0.0.1", Target.port()},
+                                       State, Memory.Answers);
     asio::co_spawn(Context, acceptHome(), asio::detached);
     asio::co_spawn(Context, relay(), asio::detached);
   }
@@ -143,6 +144,7 @@
 
   platform::operator_json_format Format;
   mesh_state State;
+  body_memory Memory{body_account(256 << 20, door_limits())};
   tcp::acceptor HomeAcceptor;
   tcp::acceptor RelayAcceptor;
   std::shared_ptr<peer_link> Link;
