--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -31,10 +31,6 @@
 /// A suspension of the machine is handled if it lasted at least this long. The
 /// steady clock does not count this time.
 constexpr milliseconds MinSuspension{300};
-/// Parts of the memory of the process, in sixteenths.
-constexpr std::uint64_t MemoryParts = 16;
-constexpr std::uint64_t RequestBodyParts = 7;
-constexpr std::uint64_t AnswerBodyParts = 3;
 constexpr std::size_t MaxControlBody = 4 << 10;
 /// Of each address that serves readiness or metrics.
 constexpr std::size_t MaxControlConnections = 64;
@@ -53,12 +49,12 @@
     : Settings(std::move(NodeSettings)),
       Dependencies(std::move(NodeDependencies)), Context(IoContext),
       Signals(Context, SIGTERM, SIGINT, SIGHUP),
-      Bodies{body_budget(Settings.MemoryBytes / MemoryParts * RequestBodyParts),
-             body_budget(Settings.MemoryBytes / MemoryParts * AnswerBodyParts)},
+      Bodies(body_account(Settings.MemoryBytes, Settings.Doors)),
       State(Settings, *Dependencies.DocumentFormat),
       Home(Context, *Dependencies.Calls, State, Bodies.Answers,
            Settings.LinkBytesPerSecond),
-      Hub(Context, State), Usage(Context, Settings, State, Hub, Metrics),
+      Hub(Context, State, Bodies.Answers),
+      Usage(Context, Settings, State, Hub, Metrics),
       Router(Context, Settings, *Dependencies.Calls, State, Home, Hub, Usage,
              Metrics),
       OperatorStore(Dependencies.OpenStore(Settings.Store)),
@@ -93,7 +89,7 @@
       Reliance(Settings.FirstStart, std::hash<node_id>()(Settings.Node)),
       Callers(Context, Settings,
               session_context{Router, *Dependencies.Calls, State, Metrics,
-                              Bodies.Requests}),
+                              Bodies.Requests, Settings.Doors}),
       PeerAcceptor(Context),
       Readiness(
           Context, MaxControlBody,
