Decode frames of other nodes without their connection

Cause: the loop that decodes frames was part of frame_channel, so that only a connection reached it. Change: frame_decoder takes bytes and gives frames, as the channel did. A frame over the size limit is now logged as bad_frame, too, before its connection is closed; it was closed without a line. Result: test_mesh passes.

--- a/src/chivebeam/mesh/frame_channel.cpp
+++ b/src/chivebeam/mesh/frame_channel.cpp
@@ -20,8 +20,6 @@
 /// Unsent bytes in the socket's buffer. Frames wait behind them, so they must
 /// take little time on a slow link.
 constexpr int MaxUnsentBytes = 128 << 10;
-/// A read buffer that was enlarged for a frame is released above this size.
-constexpr std::size_t MaxKeptBufferBytes = 1 << 20;
 /// Data that stays unacknowledged for this time ends the connection.
 constexpr milliseconds UnacknowledgedLimit{2'000};
 
@@ -129,31 +127,18 @@
 }
 
 bool frame_channel::parseFrames() {
-  while (Open && Buffer.size() >= FramePrefixBytes) {
-    const char *Start = static_cast<const char *>(Buffer.data().data());
-    result<frame_sizes> Sizes = decodeFrameSizes({Start, FramePrefixBytes});
-    if (!Sizes)
-      return false;
-    std::size_t Whole = FramePrefixBytes + Sizes->Head + Sizes->Body;
-    // Memory is set aside as bytes arrive, not for the size that the peer
-    // states.
-    if (Buffer.size() < Whole)
-      return true;
-    std::string_view Head(Start + FramePrefixBytes, Sizes->Head);
-    std::string Body(Start + FramePrefixBytes + Sizes->Head, Sizes->Body);
-    result<peer_frame> Frame =
-        decodeFrame(Head, std::move(Body), currentTime());
-    Buffer.consume(Whole);
-    if (Buffer.capacity() > MaxKeptBufferBytes)
-      Buffer.shrink_to_fit();
+  while (Open) {
+    result<std::optional<peer_frame>> Frame = Decoder.next(currentTime());
     if (!Frame) {
       log_event("bad_frame")
           .add("from", remoteIp())
           .add("error", Frame.error().text());
       return false;
     }
+    if (!*Frame)
+      return true;
     if (OnFrame)
-      OnFrame(std::move(*Frame));
+      OnFrame(std::move(**Frame));
   }
   return true;
 }
@@ -162,11 +147,11 @@
   std::shared_ptr<frame_channel> Self = shared_from_this();
   error_code Code;
   while (Open) {
-    std::size_t Got = co_await Socket.async_read_some(Buffer.prepare(ReadBytes),
-                                                      orError(Code));
+    std::size_t Got = co_await Socket.async_read_some(
+        Decoder.prepare(ReadBytes), orError(Code));
     if (Code)
       break;
-    Buffer.commit(Got);
+    Decoder.commit(Got);
     LastReceived = currentTime();
     if (!parseFrames())
       break;
--- a/src/chivebeam/mesh/frame_channel.h
+++ b/src/chivebeam/mesh/frame_channel.h
@@ -2,8 +2,8 @@
 
 #include <functional>
 
+#include "mesh/frame_decoder.h"
 #include "mesh/outgoing_queue.h"
-#include "net/asio_types.h"
 
 namespace chivebeam {
 
@@ -51,7 +51,7 @@
   bool parseFrames();
 
   tcp::socket Socket;
-  beast::flat_buffer Buffer;
+  frame_decoder Decoder;
   outgoing_queue Outgoing;
   bool Writing = false;
   instant LastProgress; ///< when the other side last took bytes
