Bound what a caller's header and chunk lines hold

Cause: found by the fuzz target of requests and its inputs. The HTTP library applies its header limit anew to each piece that ends with a line (and the next byte), so that a header in such pieces had no limit; a line before a chunk waited for its end in a buffer without bound; trailer fields were added to the header after it was checked and its memory reserved. Read in the code, not run: the bytes of a chunked body that had arrived with the header were not reserved. The service for reports and readiness uses the same parser.

--- a/src/chivebeam/mesh/caller_session.cpp
+++ b/src/chivebeam/mesh/caller_session.cpp
@@ -147,8 +147,7 @@
     co_return false;
   // The configuration may have changed during the wait.
   const caller_limits Limits = limits();
-  Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
-  Parser.body_limit(Limits.MaxBodyBytes);
+  Parser.limitTo(Limits.MaxHeaderBytes, Limits.MaxBodyBytes);
   ArrivingSince = currentTime();
   error_code Code =
       co_await Reader.readHeader(Parser, *ArrivingSince + Limits.HeaderTimeout);
--- a/src/chivebeam/mesh/request_reader.cpp
+++ b/src/chivebeam/mesh/request_reader.cpp
@@ -46,8 +46,8 @@
   Kept->Interrupted = false;
   for (;;) {
     error_code Code;
-    std::size_t Got = Socket.read_some(Buffer.prepare(Size), Code);
-    Buffer.commit(Got);
+    std::size_t Got = Socket.read_some(Decoder.prepare(Size), Code);
+    Decoder.commit(Got);
     ReceivedBytes += Got;
     if (Code != asio::error::would_block && Code != asio::error::try_again) {
       LastReadAt = currentTime();
@@ -70,15 +70,14 @@
 }
 
 awaitable<error_code> request_reader::readHeader(parser &Parser, instant End) {
-  Parser.eager(false);
-  error_code Code = parseBuffered(Parser);
+  error_code Code = Decoder.parseHeader(Parser);
   while (!Code && !Parser.is_header_done()) {
     Code = co_await readSome(ReadBytes, End);
     if (Code == asio::error::eof)
       co_return error_code(Parser.got_some() ? http::error::partial_message
                                              : http::error::end_of_stream);
     if (!Code)
-      Code = parseBuffered(Parser);
+      Code = Decoder.parseHeader(Parser);
   }
   co_return Code;
 }
@@ -86,33 +85,15 @@
 awaitable<error_code> request_reader::readBody(parser &Parser,
                                                microseconds ProgressTime,
                                                body_reservation &Held) {
-  Parser.eager(true);
-  const bool IsSized = Parser.content_length().has_value();
-  const std::uint64_t HeldBefore = Held.bytes();
-  error_code Code = parseBuffered(Parser);
+  error_code Code = Decoder.parseBody(Parser, Held);
   while (!Code && !Parser.is_done()) {
     Code = co_await readSome(BodyReadBytes, currentTime() + ProgressTime);
     if (Code == asio::error::eof)
       co_return error_code(http::error::partial_message);
     if (!Code)
-      Code = parseBuffered(Parser);
-    if (!IsSized && !Held.growTo(HeldBefore + Parser.get().body().size()))
-      co_return error_code(asio::error::no_memory);
+      Code = Decoder.parseBody(Parser, Held);
   }
   co_return Code;
 }
 
-error_code request_reader::parseBuffered(parser &Parser) {
-  error_code Code;
-  std::size_t Used = 1;
-  while (!Code && Used > 0 && Buffer.size() > 0 && !Parser.is_done() &&
-         (Parser.eager() || !Parser.is_header_done())) {
-    Used = Parser.put(Buffer.data(), Code);
-    Buffer.consume(Used);
-  }
-  if (Code == http::error::need_more)
-    Code = {};
-  return Code;
-}
-
 } // namespace chivebeam
--- a/src/chivebeam/mesh/request_reader.h
+++ b/src/chivebeam/mesh/request_reader.h
@@ -3,8 +3,7 @@
 #include <memory>
 
 #include "base/units.h"
-#include "mesh/body_budget.h"
-#include "net/asio_types.h"
+#include "mesh/request_decoder.h"
 
 namespace chivebeam {
 
@@ -13,7 +12,7 @@
 /// io_context; not thread safe.
 class request_reader {
 public:
-  using parser = http::request_parser<http::string_body>;
+  using parser = bounded_request_parser;
 
   /// \pre Socket outlives the reader.
   explicit request_reader(tcp::socket &Socket);
@@ -31,7 +30,7 @@
   /// Ends the read that waits for bytes, if there is one.
   void interrupt();
   /// True if bytes of the next request are here.
-  bool hasBytes() const { return Buffer.size() > 0; }
+  bool hasBytes() const { return Decoder.hasBytes(); }
   /// Returns when the last bytes were read.
   instant lastReadAt() const { return LastReadAt; }
   /// Returns the number of bytes that were read from the connection.
@@ -41,12 +40,10 @@
   struct state;
 
   awaitable<error_code> readSome(std::size_t Size, instant End);
-  /// Parses what has been read: the header, or the body of an eager parser.
-  error_code parseBuffered(parser &Parser);
 
   tcp::socket &Socket;
   std::shared_ptr<state> State;
-  beast::flat_buffer Buffer;
+  request_decoder Decoder;
   instant LastReadAt;
   std::uint64_t ReceivedBytes = 0;
 };
--- a/src/chivebeam/net/http_service.cpp
+++ b/src/chivebeam/net/http_service.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 
+#include "net/bounded_request_parser.h"
+
 namespace chivebeam {
 
 namespace {
 
 constexpr std::chrono::seconds IdleTimeout{60};
+constexpr std::uint64_t MaxHeaderBytes = 8 << 10;
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
 } // namespace
@@ -94,8 +97,8 @@
   beast::flat_buffer Buffer;
   bool KeepOpen = !Code;
   while (KeepOpen) {
-    http::request_parser<http::string_body> Parser;
-    Parser.body_limit(MaxBodyBytes);
+    bounded_request_parser Parser;
+    Parser.limitTo(MaxHeaderBytes, MaxBodyBytes);
     Stream.expires_after(IdleTimeout);
     co_await http::async_read(Stream, Buffer, Parser, orError(Code));
     if (Code)
