Bound the times and rates that another node sends

Cause: found by the fuzz target of frames: the usual duration of a call, and the retry time, run time and service time of an answer, were taken from the wire without bound, negative ones among them; a rate limit could be infinite; all negative urgencies became urgency 0, several times in one list. Change: the times are clamped as other durations are; an infinite rate and negative urgencies are passed over.

--- a/src/chivebeam/wire/call_wire.cpp
+++ b/src/chivebeam/wire/call_wire.cpp
@@ -1,6 +1,7 @@
 #include "wire/call_wire.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "wire/relative_time.h"
 #include "wire/wire_convert.h"
@@ -43,10 +44,12 @@
   return Out;
 }
 
+/// Passes over urgencies that no call can have.
 refusal_ratios fromWire(const std::map<std::int32_t, std::int32_t> &In) {
   refusal_ratios Ratios;
   for (const auto &[Urgency, Permille] : In)
-    Ratios.push_back({toCount(Urgency), toCount(Permille)});
+    if (Urgency >= 0)
+      Ratios.push_back({toCount(Urgency), toCount(Permille)});
   return Ratios;
 }
 
@@ -73,7 +76,7 @@
   Load.Running = toCount(In.running);
   Load.Waiting = toCount(In.waiting);
   Load.Limit = toCount(In.limit);
-  Load.ServiceTime = microseconds(In.service_time_us);
+  Load.ServiceTime = toDuration(In.service_time_us);
   Load.FailedPermille = toCount(In.failed_permille);
   Load.Refused = fromWire(In.refused);
   Load.Downstream = fromWire(In.downstream);
@@ -131,12 +134,13 @@
   Call.Nested = In.nested;
   Call.IsRetry = In.repeat;
   Call.RefusedAtEntry = toCount(In.unasked);
-  Call.UsualDuration = microseconds(std::max<std::int64_t>(In.usual_us, 0));
+  Call.UsualDuration = toDuration(In.usual_us);
   Call.OfferedBytes =
       static_cast<std::uint64_t>(std::max<std::int64_t>(In.offered_bytes, 0));
   Call.Fingerprint =
       call_fingerprint(static_cast<std::uint64_t>(In.fingerprint));
-  if (In.__isset.rate_limit && In.rate_limit >= 0)
+  if (In.__isset.rate_limit && In.rate_limit >= 0 &&
+      std::isfinite(In.rate_limit))
     Call.KnownRateLimit = call_rate{In.rate_limit};
   if (In.__isset.workspace)
     Call.Workspace = workspace_name(std::move(In.workspace));
@@ -171,9 +175,9 @@
   Answer.Fields = fromWire(In.fields);
   Answer.Body = std::make_shared<const std::string>(std::move(Body));
   Answer.Load = fromWire(In.load);
-  Answer.RetryAfter = microseconds(In.wait_us);
+  Answer.RetryAfter = toDuration(In.wait_us);
   Answer.Reason = std::move(In.reason);
-  Answer.RunTime = microseconds(In.ran_us);
+  Answer.RunTime = toDuration(In.ran_us);
   if (In.__isset.ended_born_ms)
     Answer.EndedServer = worker_start{worker_id(), In.ended_born_ms};
   return Answer;
