End an answer to another call with the connection

Cause: found by the fuzz target of answers. After an answer to another call, or one with a status below 100, that lasts until the server closes, the node read on: a read after the end of the connection does not return, so that the call was lost only at its deadline. The header limit held anew for each piece that ends with a line. Change: such an answer loses the call at once; the bytes of the fields are counted after each read of a header.

--- a/src/chivebeam/mesh/header_list.cpp
+++ b/src/chivebeam/mesh/header_list.cpp
@@ -30,6 +30,13 @@
   Fields.push_back({std::string(Name), std::move(Text)});
 }
 
+std::size_t fieldBytes(const http::fields &Fields) {
+  std::size_t Bytes = 0;
+  for (const auto &Field : Fields)
+    Bytes += Field.name_string().size() + Field.value().size();
+  return Bytes;
+}
+
 header_list endToEndFields(http::fields Fields) {
   removeConnectionFields(Fields);
   Fields.erase(http::field::content_length);
--- a/src/chivebeam/mesh/header_list.h
+++ b/src/chivebeam/mesh/header_list.h
@@ -23,6 +23,8 @@
 void eraseField(header_list &Fields, std::string_view Name);
 /// Replaces all fields with this name by a single one.
 void setField(header_list &Fields, std::string_view Name, std::string Text);
+/// Returns the bytes of the names and values of all fields.
+std::size_t fieldBytes(const http::fields &Fields);
 /// Returns the end-to-end fields, without those that concern a single
 /// connection or the framing of the message.
 header_list endToEndFields(http::fields Fields);
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -118,7 +118,11 @@
                                               body_reservation &Held) {
   error_code Code;
   while (!Code && !Parser.is_done()) {
+    const bool InHeader = !Parser.is_header_done();
     co_await http::async_read_some(Socket, Buffer, Parser, orError(Code));
+    // The parser's own limit holds anew for each piece that ends with a line.
+    if (InHeader && fieldBytes(Parser.get()) > MaxAnswerHeaderBytes)
+      co_return error_code(http::error::header_limit);
     if (!Held.growTo(Parser.get().body().size()))
       co_return error_code(asio::error::no_memory);
   }
@@ -142,17 +146,19 @@
       co_return lostAnswer(Code);
     }
     http::response<http::string_body> Response = Parser.release();
-    if (Response.result_int() < 200) {
-      ++Interim;
-      continue;
-    }
+    const bool IsInterim = Response.result_int() < 200;
     mesh_answer Answer;
     Answer.Status = Response.result_int();
     Answer.Fields = endToEndFields(Response.base());
-    if (!Protocol.isAnswerTo(Answer.Fields, Call.Id)) {
-      ++Mismatched;
+    if (IsInterim || !Protocol.isAnswerTo(Answer.Fields, Call.Id)) {
+      if (Parser.need_eof()) {
+        // It lasted until the server closed; a further read would not end.
+        AnswerEnd = answer_end::closed;
+        co_return lostAnswer(http::error::end_of_stream);
+      }
+      ++(IsInterim ? Interim : Mismatched);
       // More late answers may follow, so no other call uses this connection.
-      Reusable = false;
+      Reusable = Reusable && IsInterim;
       continue;
     }
     parseKeepAlive(Response.base());
