Fuzz what arrives at the doors of a mesh node

Change: targets request, peer and answer feed the decoders in pieces of any size and check limits, reserved memory, that what is passed on or encoded again means the same, and that an exchange ends with its connection; operator checks keys, caps and limits. answer uses a pair of local sockets on one io_context.

--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -1,10 +1,17 @@
 #include "fuzz/fuzz_targets.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
 #include <stdexcept>
 
 #include "charts/state_chart.h"
 #include "config/compiler.h"
 #include "control/worker_registry.h"
+#include "fuzz/answer_target.h"
+#include "fuzz/fuzz_checks.h"
+#include "fuzz/peer_target.h"
+#include "fuzz/request_target.h"
 #include "membership/membership.h"
 #include "mesh/mesh_records.h"
 #include "net/asio_types.h"
@@ -20,21 +27,6 @@
 
 namespace {
 
-void requireRemedy(const error &Error) {
-  if (Error.Remedy.empty() || Error.Message.empty())
-    throw std::logic_error("an error without message or remedy: " +
-                           Error.text());
-}
-
-template <typename Value> void requireRemedies(const checked<Value> &Read) {
-  if (Read)
-    return;
-  if (Read.error().empty())
-    throw std::logic_error("input was refused without an error");
-  for (const error &Error : Read.error())
-    requireRemedy(Error);
-}
-
 void runSettings(std::string_view Bytes) {
   requireRemedies(readSettings(Bytes));
 }
@@ -159,28 +151,59 @@
   requireConnectable(Message->Report.At);
 }
 
+/// Each key has one workspace, which is found by it.
+void requireDistinctKeys(const snapshot &Config) {
+  std::vector<api_key> Seen;
+  for (const auto &[Name, Workspace] : Config.workspaces())
+    for (const api_key &Key : Workspace.Keys) {
+      require(!Key.empty() &&
+                  std::find(Seen.begin(), Seen.end(), Key) == Seen.end(),
+              "a key is empty or stands twice");
+      require(Config.findWorkspaceOf(Key) == Config.findWorkspace(Name),
+              "a key leads to another workspace");
+      Seen.push_back(Key);
+    }
+}
+
+void requireSaneLimits(const snapshot &Config) {
+  for (const auto &[Name, Workspace] : Config.workspaces()) {
+    const usage_cap &Cap = Workspace.Cap;
+    require(!Name.empty() && std::isfinite(Cap.RatePerSecond) &&
+                std::isfinite(Cap.Burst) && Cap.RatePerSecond >= 0 &&
+                Cap.Burst >= 0,
+            "a workspace has an absurd cap");
+  }
+  const caller_limits &Limits = Config.callerLimits();
+  require(Limits.MaxHeaderBytes <= std::numeric_limits<std::uint32_t>::max() &&
+              Limits.MaxBodyBytes <= std::numeric_limits<std::int64_t>::max(),
+          "callers have absurd limits");
+  for (const route_rule &Route : Config.routes())
+    require(Config.findService(Route.Service) && Route.Deadline.count() >= 0,
+            "a route has no service or an absurd deadline");
+}
+
 void runOperatorDocument(std::string_view Bytes) {
   platform::operator_json_format Format;
-  requireRemedies(Format.compile(std::string(Bytes)));
+  checked<snapshot_ptr> Config = Format.compile(std::string(Bytes));
+  requireRemedies(Config);
+  if (Config) {
+    requireDistinctKeys(**Config);
+    requireSaneLimits(**Config);
+  }
   result<move_order> Order = Format.readMoveOrder(std::string(Bytes));
   if (!Order)
     requireRemedy(Order.error());
 }
 
 constexpr fuzz_target Targets[] = {
-    {"settings", runSettings},
-    {"source", runSource},
-    {"chart", runChart},
-    {"announcement", runAnnouncement},
-    {"datagram", runDatagram},
-    {"membership", runMembership},
-    {"journal", runJournal},
-    {"frame", runFrame},
-    {"packed", runPackedText},
-    {"record", runRecord},
-    {"move", runMove},
-    {"report", runReport},
-    {"operator", runOperatorDocument},
+    {"settings", runSettings}, {"source", runSource},
+    {"chart", runChart},       {"announcement", runAnnouncement},
+    {"datagram", runDatagram}, {"membership", runMembership},
+    {"journal", runJournal},   {"frame", runFrame},
+    {"packed", runPackedText}, {"record", runRecord},
+    {"move", runMove},         {"report", runReport},
+    {"request", runRequest},   {"peer", runPeer},
+    {"answer", runAnswer},     {"operator", runOperatorDocument},
 };
 
 } // namespace
