Keep the process when a last chunk arrives byte by byte, also in calls of nodes

Cause: the HTTP library ends the process (assertion n >= 5) if it goes on with four bytes of the last chunk; chivebeam node read bodies of requests and of answers by that call. Change: both use readSome of net/http_reads.h, as the other doors do. Result: both new cases of test_data aborted on the code before and pass.

--- a/src/chivebeam/data/http_exchange.cpp
+++ b/src/chivebeam/data/http_exchange.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "data/call_headers.h"
+#include "net/http_reads.h"
 
 namespace chivebeam {
 
@@ -290,8 +291,7 @@
     while (Size == 0 && !Answer->is_done()) {
       Out.data = Piece->data();
       Out.size = Piece->size();
-      co_await http::async_read_some(Upstream, AnswerBuffer, *Answer,
-                                     orError(Code));
+      Code = co_await readSome(Upstream, AnswerBuffer, *Answer);
       Result.End = endUnlessCallerGone(exchange_end::answer_cut);
       if ((Code && Code != http::error::need_buffer) || !Cancellation.active())
         co_return false;
--- a/src/chivebeam/data/request_body.cpp
+++ b/src/chivebeam/data/request_body.cpp
@@ -1,5 +1,7 @@
 #include "data/request_body.h"
 
+#include "net/http_reads.h"
+
 namespace chivebeam {
 
 namespace {
@@ -70,7 +72,7 @@
     Parser.get().body().data = Piece;
     Parser.get().body().size = PieceBytes;
     Cancellation.onCancel([this] { Source.cancel(); });
-    co_await http::async_read_some(Source, Buffer, Parser, orError(Code));
+    Code = co_await readSome(Source, Buffer, Parser);
     Cancellation.onCancel(nullptr);
     if (Code == http::error::need_buffer)
       Code = {};
--- a/tests/data/calls_test.cpp
+++ b/tests/data/calls_test.cpp
@@ -155,6 +155,56 @@
   });
 }
 
+// Guards against a client that ends the process with the end of a body.
+BOOST_AUTO_TEST_CASE(a_last_chunk_may_arrive_byte_by_byte) {
+  for (std::string Body : {"", "3\r\nabc\r\n"}) {
+    call_fixture Fixture;
+    Fixture.addHome(echo());
+    Fixture.open();
+    Fixture.run([&]() -> awaitable<void> {
+      caller Caller(Fixture.Context);
+      co_await Caller.connect(Fixture.Traffic);
+      co_await Caller.send("POST /kassa/x HTTP/1.1\r\nHost: h\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n" +
+                           Body);
+      for (char Byte : std::string("0\r\n\r\n")) {
+        co_await Caller.send(std::string(1, Byte));
+        co_await sleepFor(milliseconds(5));
+      }
+      auto Answer = co_await Caller.read();
+      BOOST_REQUIRE(Answer);
+      BOOST_TEST(Answer->result_int() == 200u);
+    });
+  }
+}
+
+// The same from a backend server.
+BOOST_AUTO_TEST_CASE(the_last_chunk_of_an_answer_may_arrive_byte_by_byte) {
+  for (std::string Body : {"", "3\r\nabc\r\n"}) {
+    call_fixture Fixture;
+    Fixture.addHome([&](tcp::socket &Socket) -> awaitable<void> {
+      beast::flat_buffer Buffer;
+      co_await readRequest(Socket, Buffer);
+      co_await tests::write(
+          Socket,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Body);
+      for (char Byte : std::string("0\r\n\r\n")) {
+        co_await sleepFor(milliseconds(5));
+        co_await tests::write(Socket, std::string(1, Byte));
+      }
+    });
+    Fixture.open();
+    Fixture.run([&]() -> awaitable<void> {
+      caller Caller(Fixture.Context);
+      co_await Caller.connect(Fixture.Traffic);
+      auto Answer = co_await Caller.call(get("/kassa/x"));
+      BOOST_REQUIRE(Answer);
+      BOOST_TEST(Answer->result_int() == 200u);
+      BOOST_TEST(Answer->body() == (Body.empty() ? "" : "abc"));
+    });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(pipelined_calls_are_answered_in_their_order) {
   call_fixture Fixture;
   Fixture.addHome(echo());
