Leave limits out of range to the compiler of documents

Cause: nodes refuse limits that are negative or over 32 bits now, so the review of the check that said how nodes read them was never reached, and what it said was no longer true.

--- a/src/libchivebeam/config/config_review.cpp
+++ b/src/libchivebeam/config/config_review.cpp
@@ -1,8 +1,6 @@
 #include "config/config_review.h"
 
 #include <algorithm>
-#include <cstdint>
-#include <limits>
 #include <set>
 
 #include "config/change_text.h"
@@ -12,13 +10,6 @@
 
 namespace {
 
-/// Nodes count the bytes of headers in 32 bits.
-constexpr std::uint64_t MaxHeaderLimit =
-    std::numeric_limits<std::uint32_t>::max();
-/// A limit above it was negative in the document.
-constexpr std::uint64_t MaxBodyLimit =
-    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
-
 bool containsAny(const std::string &Text, std::string_view Bytes) {
   return Text.find_first_of(Bytes) != std::string::npos;
 }
@@ -195,16 +186,7 @@
   if (Limits.MaxHeaderBytes == 0)
     refuse("limits", "the limit for header bytes is 0, so no call is taken",
            "set the bytes of the largest header that callers send");
-  else if (Limits.MaxHeaderBytes > MaxHeaderLimit)
-    refuse("limits",
-           "the limit for header bytes is negative or over " +
-               std::to_string(MaxHeaderLimit) +
-               "; nodes keep only its lowest 32 bits",
-           "set the bytes of the largest header that callers send");
-  if (Limits.MaxBodyBytes > MaxBodyLimit)
-    refuse("limits", "the limit for body bytes is negative",
-           "set the bytes of the largest body that callers send");
-  else if (Limits.MaxBodyBytes == 0)
+  if (Limits.MaxBodyBytes == 0)
     warn("limits",
          "the limit for body bytes is 0, so each call with a body gets 413",
          "set the bytes of the largest body that callers send");
