Let the tests of waiting calls not depend on time

Cause: the servers answered after a fixed time, so a test that was held up in between could find a free slot where it expected none. A second copy that found no slot could let a call ask home nodes that had refused it. Change: servers answer when the test allows it; the home nodes of the search are given back once.

--- a/src/chivebeam/mesh/entry_call.h
+++ b/src/chivebeam/mesh/entry_call.h
@@ -32,7 +32,7 @@
   /// Home nodes that had no free slot for this call. They are asked again once
   /// it may wait for a slot.
   std::set<node_id> Busy;
-  bool MayWait = false;
+  bool MayWait = false; ///< for a slot
   microseconds RetryAfter{0};
   unsigned Attempts = 0;
   /// Home nodes that were asked and could be reached.
--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -320,7 +320,7 @@
   Metrics.count("calls_found_no_free_slot");
   --Entry.Attempts; // the call was only offered
   Entry.Busy.insert(Node);
-  if (Entry.Busy.size() >= MaxBusyHomeNodes)
+  if (!Entry.MayWait && Entry.Busy.size() >= MaxBusyHomeNodes)
     letWait(Entry);
   return true;
 }
--- a/tests/mesh/free_slot_test.cpp
+++ b/tests/mesh/free_slot_test.cpp
@@ -13,14 +13,19 @@
 // same time, and neither call may wait behind the other.
 BOOST_AUTO_TEST_CASE(a_call_does_not_wait_while_another_server_is_free) {
   constexpr std::size_t Rounds = 6;
+  std::size_t Round = 0;
   mesh_fixture Mesh({"desk", "desk", "kassa", "kassa"});
   for (std::size_t Server : {0, 1}) {
     Mesh.worker(Server).Slots = 1;
-    Mesh.worker(Server).Script.Delay = milliseconds(100);
+    // Neither server answers before both run a call.
+    Mesh.worker(Server).Script.MayAnswer = [&] {
+      return Mesh.worker(0).Received.size() > Round &&
+             Mesh.worker(1).Received.size() > Round;
+    };
   }
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
-    for (std::size_t Round = 0; Round < Rounds; ++Round) {
+    for (; Round < Rounds; ++Round) {
       std::vector<std::unique_ptr<caller>> Callers;
       for (std::size_t Entry : {2, 3}) {
         std::string Id = std::to_string(Round) + "-" + std::to_string(Entry);
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -111,6 +111,8 @@
       Worker.MaxRunning = std::max(Worker.MaxRunning, Worker.Running);
       if (Worker.Script.Delay.count() > 0)
         co_await sleepFor(Worker.Script.Delay);
+      if (Worker.Script.MayAnswer)
+        co_await until(Worker.Script.MayAnswer);
       if (Worker.Script.Crashes && Worker.Script.Crashes(*Request)) {
         co_await sleepFor(Worker.Script.CrashDelay);
         // It may have ended under another request meanwhile.
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -14,6 +14,8 @@
                                 const http::request<http::string_body> &)>
       Answer;
   milliseconds Delay{0};
+  /// If set, answers wait until it returns true.
+  std::function<bool()> MayAnswer;
   /// If set and true for a request, the server crashes while it runs it.
   std::function<bool(const http::request<http::string_body> &)> Crashes;
   /// Returns what the server sends before it crashes; nothing if not set.
--- a/tests/mesh/workspaces_test.cpp
+++ b/tests/mesh/workspaces_test.cpp
@@ -158,7 +158,8 @@
                               {"apiKeys", {"key-2"}},
                               {"priority", 2}}});
   Mesh.addNode("desk", "zone-a", 1);
-  Mesh.worker(0).Script.Delay = milliseconds(150);
+  bool AllSent = false;
+  Mesh.worker(0).Script.MayAnswer = [&] { return AllSent; };
   Mesh.run([&]() -> awaitable<void> {
     co_await Mesh.ready();
     co_await current(Mesh, 0);
@@ -172,6 +173,7 @@
                std::string("Credential: ") + Key));
       co_await Mesh.pause(milliseconds(20));
     }
+    AllSent = true;
     for (auto &Caller : Callers)
       BOOST_TEST(statusOf(co_await Caller->read()) == 200u);
     std::vector<std::string> Order;
