--- a/review/stand_ins_2/fleet.cpp
+++ b/review/stand_ins_2/fleet.cpp
@@ -87,9 +87,12 @@
   return Found && Found->is_number() ? Found->to_number<std::uint64_t>() : 0;
 }
 
+std::atomic<int> StoreEra{1};
+
 std::string jsonAnswer(int Status, const json::object &Body = {}) {
   return answerText(Status, json::serialize(Body),
-                    "Content-Type: application/json\r\nStore-Era: 1\r\n");
+                    "Content-Type: application/json\r\nStore-Era: " +
+                        std::to_string(StoreEra) + "\r\n");
 }
 
 std::int64_t unixMillis() {
@@ -189,6 +192,24 @@
   Changed.notify_all();
 }
 
+void store::saveCopy() {
+  std::lock_guard Lock(Mutex);
+  CopiedItems = Items;
+  CopiedRevision = Revision;
+}
+
+void store::restoreCopy() {
+  std::lock_guard Lock(Mutex);
+  Items = CopiedItems;
+  std::erase_if(Items,
+                [](const auto &Entry) { return Entry.second.Lease != 0; });
+  Leases.clear();
+  Revision = CopiedRevision;
+  History.clear();
+  ++StoreEra;
+  Changed.notify_all();
+}
+
 namespace {
 template <typename Item>
 json::object itemJson(const std::string &Key, const Item &Of) {
@@ -204,8 +225,11 @@
                          milliseconds Wait) {
   std::unique_lock Lock(Mutex);
   steady::time_point Until = steady::now() + Wait;
+  int StartedIn = StoreEra;
+  if (After > Revision)
+    return jsonAnswer(410);
   for (;;) {
-    if (Down)
+    if (Down || StoreEra != StartedIn)
       return jsonAnswer(503);
     json::array Events;
     for (const change &Change : History) {
@@ -526,8 +550,8 @@
       {"limits",
        {{"cpuShare", 0.2},
         {"cores", 1},
-        {"memoryMb", 260},
-        {"maxFileDescriptors", 4100},
+        {"memoryMb", MemoryMb},
+        {"maxFileDescriptors", MaxFileDescriptors},
         {"linkMbps", 1000.0},
         {"diskMb", 0}}},
       {"dataDirectory", nullptr},
@@ -592,6 +616,17 @@
   Processes[Name] = 0;
 }
 
+void fleet::stop(const std::string &Name) {
+  signal(Name, SIGTERM);
+  constexpr int GraceMs = 6'000;
+  for (int Waited = 0; Waited < GraceMs; Waited += 20) {
+    if (!endOf(Name).empty())
+      return;
+    sleepMs(20);
+  }
+  kill(Name);
+}
+
 std::string fleet::endOf(const std::string &Name) {
   int Status = 0;
   pid_t Process = Processes.at(Name);
@@ -601,10 +636,19 @@
   std::string Text =
       WIFSIGNALED(Status) ? "signal " + std::to_string(WTERMSIG(Status))
                           : "status " + std::to_string(WEXITSTATUS(Status));
-  Record.line("node " + Name + " ended by itself with " + Text);
+  Record.line("node " + Name + " ended with " + Text);
   return Text;
 }
 
+long fleet::memoryMb(const std::string &Name) const {
+  std::ifstream Status("/proc/" + std::to_string(Processes.at(Name)) +
+                       "/status");
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with("VmRSS:"))
+      return std::atol(Line.c_str() + 6) / 1'024;
+  return 0;
+}
+
 bool fleet::isReady(const std::string &Name) {
   auto Answer = call(of(Name).Ready, "GET", "/readiness", "",
                      "Host: " + of(Name).Ready.text() + "\r\n",
--- a/review/stand_ins_2/fleet.h
+++ b/review/stand_ins_2/fleet.h
@@ -42,6 +42,11 @@
   /// While the store is down, it answers 503 to all calls and does nothing.
   /// Leases pause meanwhile.
   void setDown(bool IsDown);
+  /// Keeps a copy of what the store holds.
+  void saveCopy();
+  /// Comes back from the copy: what was written since is gone, leases too,
+  /// revisions are given out again, and the era rises.
+  void restoreCopy();
   /// Returns the revisions at which the keys with this prefix were written.
   std::vector<std::pair<std::string, std::uint64_t>>
   keys(const std::string &Prefix);
@@ -76,6 +81,8 @@
   std::vector<change> History;
   std::map<std::uint64_t, lease> Leases;
   std::uint64_t Revision = 1, NextLease = 100;
+  std::map<std::string, item> CopiedItems;
+  std::uint64_t CopiedRevision = 1;
   bool Down = false;
   steady::time_point DownSince;
   std::unique_ptr<server> Server;
@@ -157,8 +164,13 @@
   void signal(const std::string &Name, int Number);
   /// Ends a process that was sent a signal and waits for its end.
   void kill(const std::string &Name);
+  /// Stops a process like the platform: SIGTERM, and SIGKILL after the grace
+  /// period. Waits for its end.
+  void stop(const std::string &Name);
   /// Returns how a process ended by itself; empty while it runs.
   std::string endOf(const std::string &Name);
+  /// Returns the memory of a process in MiB; zero if it has ended.
+  long memoryMb(const std::string &Name) const;
   bool isReady(const std::string &Name);
   bool waitReady(milliseconds Timeout);
   /// Ends all processes, writes the result and ends this one.
@@ -167,6 +179,8 @@
   endpoint storeAddress() const { return Store; }
 
   double HeartbeatS = 0.87;
+  long MemoryMb = 260; ///< limit of a process
+  int MaxFileDescriptors = 4'100;
 
 private:
   void endAll();
