--- a/review/stand_ins_2/fleet.cpp
+++ b/review/stand_ins_2/fleet.cpp
@@ -351,7 +351,9 @@
       On(Machine), Slots(WorkerSlots) {
   Behaviour = [this](connection &Connection, const message &Request) {
     std::this_thread::sleep_for(RunTime);
-    Connection.send(signedAnswer(Request, 200, "body of " + Request.word(1)));
+    if (!Silenced)
+      Connection.send(signedAnswer(Request, 200, "body of " + Request.word(1),
+                                 Leaving ? "Server-Leaving: 1\r\n" : ""));
   };
   Server = std::make_unique<server>(
       On.Application, [this](connection &Connection) { serve(Connection); });
@@ -431,6 +433,7 @@
 
 bool worker::deregister() {
   std::lock_guard Lock(ReportMutex);
+  Leaving = true;
   auto Answer = call(On.Control, "DELETE", "/instances/" + Id,
                      json::serialize(json::object{{"born", Born.load()}}),
                      "Host: " + On.Control.text() +
--- a/review/stand_ins_2/fleet.h
+++ b/review/stand_ins_2/fleet.h
@@ -117,12 +117,16 @@
   bool report(const std::string &State);
   /// Says that the server leaves for good; returns whether it was acknowledged.
   bool deregister();
+  /// Sends no more answers or reports: the process is about to end.
+  void silence() { Silenced = true, Reporting = false; }
   /// Ends the process: closes all connections.
   void crash();
   std::vector<arrival> arrivals();
   std::size_t running() const { return Running; }
 
   std::string Id, Service, Version, State = "ready";
+  /// The server has said that it leaves, and says so in its answers.
+  std::atomic<bool> Leaving{false};
   milliseconds RunTime{20};
   std::atomic<std::int64_t> Born;
 
@@ -137,7 +141,7 @@
   behaviour Behaviour;
   std::atomic<int> Running{0};
   std::atomic<std::uint64_t> Sequence{0};
-  std::atomic<bool> Reporting{false}, Ended{false};
+  std::atomic<bool> Reporting{false}, Ended{false}, Silenced{false};
   std::thread Reporter;
   std::unique_ptr<server> Server;
 };
