Pass over the trailers of answers, which could end a node

Cause: the parser of the HTTP library adds trailer fields to the header fields and throws std::length_error for a name or value of more than 65,533 bytes. Nothing held the exception in the read operation. The parser's limits don't count trailers before they are added.

Change: trailerless_parser passes over trailers; backend servers, the store, watches and both relays of chivebeam node read answers with it, the relays requests as well. readSome turns what the library still throws into an error of that exchange. Watches are read by readSome too, which mends the entry on a watch whose last chunk comes byte by byte.

Result: spoiled_answer, a_long_trailer_of_an_answer_is_passed_over and a_watch_may_end_in_pieces_or_with_a_long_trailer failed before ("field value too large", "field name too large") and pass; test_data and test_store pass.

--- a/src/chivebeam/data/http_exchange.cpp
+++ b/src/chivebeam/data/http_exchange.cpp
@@ -264,8 +264,7 @@
   while (!Answer->is_done() && !Code && Cancellation.active()) {
     Answer->get().body().data = Piece->data();
     Answer->get().body().size = Piece->size();
-    co_await http::async_read_some(Upstream, AnswerBuffer, *Answer,
-                                   orError(Code));
+    Code = co_await readSome(Upstream, AnswerBuffer, *Answer);
     if (Code == http::error::need_buffer)
       Code = {};
   }
--- a/src/chivebeam/data/http_exchange.h
+++ b/src/chivebeam/data/http_exchange.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "data/request_body.h"
+#include "net/trailerless_parser.h"
 
 namespace chivebeam {
 
@@ -61,7 +62,7 @@
                                  const hooks &Hooks);
 
 private:
-  using answer_parser = http::response_parser<http::buffer_body>;
+  using answer_parser = trailerless_response_parser<http::buffer_body>;
 
   awaitable<bool> sendBufferedBody(beast::tcp_stream &Upstream);
   awaitable<bool> sendAfterContinue(beast::tcp_stream &Upstream);
--- a/src/chivebeam/data/request_body.h
+++ b/src/chivebeam/data/request_body.h
@@ -3,10 +3,11 @@
 #include <string>
 
 #include "data/call_cancellation.h"
+#include "net/trailerless_parser.h"
 
 namespace chivebeam {
 
-using request_parser = http::request_parser<http::buffer_body>;
+using request_parser = trailerless_parser<true, http::buffer_body>;
 
 /// The body of one request. A body of known length up to MaxBufferedBytes is
 /// buffered, so that the call can be retried if it did not run. Any other body
--- a/src/chivebeam/mesh/worker_connection.h
+++ b/src/chivebeam/mesh/worker_connection.h
@@ -3,6 +3,7 @@
 #include "mesh/body_budget.h"
 #include "mesh/call_protocol.h"
 #include "mesh/cancel_signal.h"
+#include "net/trailerless_parser.h"
 #include "routing/exchange_outcome.h"
 
 namespace chivebeam {
@@ -42,7 +43,7 @@
   milliseconds KeepAlive{0};
 
 private:
-  using answer_parser = http::response_parser<http::string_body>;
+  using answer_parser = trailerless_response_parser<http::string_body>;
 
   /// Reads a complete answer. Fails with no_memory if there is no room for its
   /// body.
--- a/src/chivebeam/net/http_client.cpp
+++ b/src/chivebeam/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include "net/trailerless_parser.h"
 #include "net/http_reads.h"
 
 #include <netinet/tcp.h>
@@ -59,7 +60,7 @@
   error_code Code;
   co_await http::async_write(*Stream, Request, orError(Code));
   beast::flat_buffer Buffer;
-  http::response_parser<http::string_body> Parser;
+  trailerless_response_parser<http::string_body> Parser;
   Parser.body_limit(MaxBodyBytes);
   if (!Code)
     while (!Code && !Parser.is_done())
--- a/src/chivebeam/net/http_reads.h
+++ b/src/chivebeam/net/http_reads.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <new>
+#include <stdexcept>
+
 #include "net/asio_types.h"
 
 namespace chivebeam {
@@ -9,8 +12,9 @@
 /// with fewer.
 inline constexpr std::size_t LastChunkBytes = 5;
 
-/// Reads and parses a part of a message, as http::async_read_some does. \pre
-/// the parser is not eager and not done
+/// Reads and parses a part of a message, as http::async_read_some does. What
+/// the HTTP library throws is an error of this message alone. \pre the parser
+/// is not eager and not done
 template <typename Stream, typename MessageParser>
 awaitable<error_code> readSome(Stream &Source, beast::flat_buffer &Buffer,
                                MessageParser &Parser) {
@@ -26,7 +30,13 @@
     if (Code)
       co_return Code;
   }
-  co_await http::async_read_some(Source, Buffer, Parser, orError(Code));
+  try {
+    co_await http::async_read_some(Source, Buffer, Parser, orError(Code));
+  } catch (const std::length_error &) {
+    Code = http::error::header_limit;
+  } catch (const std::bad_alloc &) {
+    Code = asio::error::no_memory;
+  }
   co_return Code;
 }
 
--- a/src/chivebeam/store/gateway_store.cpp
+++ b/src/chivebeam/store/gateway_store.cpp
@@ -1,5 +1,7 @@
 #include "store/gateway_store.h"
 
+#include "net/http_reads.h"
+#include "net/trailerless_parser.h"
 #include "store/gateway_json.h"
 
 namespace chivebeam {
@@ -141,7 +143,7 @@
                                           const watch_handler &Handler) {
   const address Server = Servers[Current];
   beast::flat_buffer Buffer;
-  http::response_parser<http::buffer_body> Parser;
+  trailerless_response_parser<http::buffer_body> Parser;
   Parser.body_limit(boost::none);
   error_code Code;
   co_await http::async_read_header(Stream, Buffer, Parser, orError(Code));
@@ -151,7 +153,7 @@
   while (!Code && !Parser.is_done()) {
     Parser.get().body().data = Chunk.data();
     Parser.get().body().size = Chunk.size();
-    co_await http::async_read_some(Stream, Buffer, Parser, orError(Code));
+    Code = co_await readSome(Stream, Buffer, Parser);
     if (Code == http::error::need_buffer)
       Code = {};
     Pending.append(Chunk.data(), Chunk.size() - Parser.get().body().size);
--- a/tests/data/calls_test.cpp
+++ b/tests/data/calls_test.cpp
@@ -205,6 +205,29 @@
   }
 }
 
+// Guards against a relay that ends because of a trailer that the HTTP library
+// can't hold.
+BOOST_AUTO_TEST_CASE(a_long_trailer_of_an_answer_is_passed_over) {
+  call_fixture Fixture;
+  unsigned Requests = 0;
+  Fixture.addHome(
+      answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok"
+                "\r\n0\r\nA: " +
+                    std::string(70'000, 'a') + "\r\n\r\n",
+                &Requests));
+  Fixture.open();
+  Fixture.run([&]() -> awaitable<void> {
+    for (unsigned Call = 1; Call <= 2; ++Call) {
+      caller Caller(Fixture.Context);
+      co_await Caller.connect(Fixture.Traffic);
+      auto Answer = co_await Caller.call(get("/kassa/x"));
+      BOOST_REQUIRE(Answer);
+      BOOST_TEST(Answer->result_int() == 200u);
+      BOOST_TEST(Answer->body() == "ok");
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(pipelined_calls_are_answered_in_their_order) {
   call_fixture Fixture;
   Fixture.addHome(echo());
--- a/tests/store/gateway_store_test.cpp
+++ b/tests/store/gateway_store_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "commands/command_tools.h"
+#include "stand_ins/scripted_http.h"
 #include "stand_ins/store_stand_in.h"
 #include "store/gateway_store.h"
 
@@ -75,3 +76,33 @@
   BOOST_REQUIRE(!Answer);
   BOOST_TEST((Answer.error().Kind == error_kind::unavailable));
 }
+
+// Guards against a node that ends because a watch ends byte by byte, or with a
+// trailer that the HTTP library can't hold.
+BOOST_AUTO_TEST_CASE(a_watch_may_end_in_pieces_or_with_a_long_trailer) {
+  for (bool InPieces : {true, false}) {
+    asio::io_context Context{1};
+    tests::scripted_worker Server(
+        Context, [InPieces](tcp::socket &Socket) -> awaitable<void> {
+          beast::flat_buffer Buffer;
+          co_await tests::readRequest(Socket, Buffer);
+          co_await tests::write(Socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                        "chunked\r\n\r\n2\r\n{}\r\n");
+          std::string End =
+              InPieces ? "0\r\n\r\n"
+                       : "0\r\nA: " + std::string(70'000, 'a') + "\r\n\r\n";
+          for (std::size_t At = 0; InPieces && At < End.size(); ++At) {
+            co_await tests::write(Socket, End.substr(At, 1));
+            co_await sleepFor(milliseconds(2));
+          }
+          if (!InPieces)
+            co_await tests::write(Socket, End);
+        });
+    gateway_store Store{{Server.bound()}, milliseconds(1'000)};
+    error Ended = runUntilDone(
+        Context,
+        Store.watch("k", store_revision(1),
+                    [](store_revision, const std::vector<watch_event> &) {}));
+    BOOST_TEST((Ended.Kind == error_kind::unavailable));
+  }
+}
