Count servers that end together once for a call that was served

Cause: a call is refused after the ends of three servers under it, whatever else is known of it. Calls of many callers for one page have one fingerprint, so such a page runs on every server of its service, and servers that end together, as with their failure domain, count like three ends in a row. No answer can clear it, since none runs any more.

Change: a home node remembers in a table of fixed size when calls were last answered, and says so with the end of its server (an event that the protocol between nodes has already). A call that was answered in the ten minutes before is not shown to crash servers by ends within one second of each other: they count once. It is still refused after three such groups. Calls that were never answered, as one that crashes every server is, count as before.

--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -287,9 +287,12 @@
 
 void home_runner::recordAnswer(const mesh_call &Call,
                                const mesh_answer &Answer) {
-  if (Answer.Outcome == attempt_outcome::answered &&
-      Suspects.suspects().isSuspect(Call.Fingerprint))
-    Suspects.suspectsObserved({{Call.Fingerprint, {}, currentTime()}});
+  if (Answer.Outcome != attempt_outcome::answered)
+    return;
+  instant Now = currentTime();
+  Answered.add(Call.Fingerprint, Now);
+  if (Suspects.suspects().isSuspect(Call.Fingerprint))
+    Suspects.suspectsObserved({{Call.Fingerprint, {}, Now}});
 }
 
 void home_runner::serverEnded(const worker_start &Start, instant Now) {
@@ -304,9 +307,12 @@
       .add("started_ms", Start.StartedAtMs)
       .add("calls", Calls);
   std::vector<suspect_event> Events;
-  Events.reserve(Ran.size());
-  for (call_fingerprint Fingerprint : Ran)
+  Events.reserve(2 * Ran.size());
+  for (call_fingerprint Fingerprint : Ran) {
+    if (std::optional<instant> AnsweredAt = Answered.lastAnswer(Fingerprint))
+      Events.push_back({Fingerprint, {}, *AnsweredAt});
     Events.push_back({Fingerprint, Start, Now});
+  }
   Suspects.suspectsObserved(Events);
 }
 
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -11,6 +11,7 @@
 #include "mesh/worker_connection_pool.h"
 #include "moves/evidence.h"
 #include "net/clock.h"
+#include "routing/answered_calls.h"
 #include "routing/body_admission.h"
 #include "routing/broken_calls.h"
 #include "routing/fair_shares.h"
@@ -118,7 +119,7 @@
   /// cut, so it counts as lost.
   awaitable<void> checkServerEnd(const mesh_call &Call, worker_start Start,
                                  exchange_outcome End, mesh_answer &Answer);
-  /// Clears a suspected call that was answered.
+  /// Remembers that a call was answered, and clears it if it is suspected.
   void recordAnswer(const mesh_call &Call, const mesh_answer &Answer);
   /// Called when this start of the backend server is known to be gone.
   void serverEnded(const worker_start &Start, instant Now);
@@ -172,6 +173,7 @@
   std::unordered_map<std::uint64_t, one_shot<bool>> SlotWaiters;
   worker_connection_pool Connections;
   broken_calls Broken;
+  answered_calls Answered;
   decaying_ratio Failures{FailureHalfLife};
   evidence_by_route Evidence;
   refusal_ratios Downstream;
--- a/src/libchivebeam/routing/crash_suspects.cpp
+++ b/src/libchivebeam/routing/crash_suspects.cpp
@@ -17,17 +17,38 @@
 constexpr std::chrono::minutes KeepTime{30};
 /// All events together fit into one message between nodes.
 constexpr std::size_t MaxSuspects = 512;
-constexpr std::size_t MaxEnds = 4;
+constexpr std::size_t MaxEnds = 12;
+/// Servers that end within this time end together.
+constexpr milliseconds TogetherTime{1'000};
+/// An answer shows for this time that a call doesn't crash servers.
+constexpr std::chrono::minutes MaxAnswerAge{10};
 /// An answer that is later by less than this is the same one: its time differs
 /// a little between nodes.
 constexpr milliseconds MinAnswerInterval{100};
 
 } // namespace
 
+bool crash_suspects::wasAnswered(const suspect &Suspect, instant Before) {
+  return Suspect.AnsweredAt != instant() &&
+         Before < Suspect.AnsweredAt + MaxAnswerAge;
+}
+
 std::size_t crash_suspects::countEnds(const suspect &Suspect) {
-  return static_cast<std::size_t>(std::count_if(
-      Suspect.Ends.begin(), Suspect.Ends.end(),
-      [&](const server_end &End) { return End.At > Suspect.AnsweredAt; }));
+  std::vector<instant> Times;
+  for (const server_end &End : Suspect.Ends)
+    if (End.At > Suspect.AnsweredAt)
+      Times.push_back(End.At);
+  std::sort(Times.begin(), Times.end());
+  if (Times.empty() || !wasAnswered(Suspect, Times.front()))
+    return Times.size();
+  std::size_t Count = 0;
+  instant FirstOfGroup;
+  for (instant At : Times)
+    if (Count == 0 || At >= FirstOfGroup + TogetherTime) {
+      ++Count;
+      FirstOfGroup = At;
+    }
+  return Count;
 }
 
 instant crash_suspects::lastEventOf(const suspect &Suspect) {
@@ -70,6 +91,16 @@
   if (IsKnown)
     return false;
   if (Suspect.Ends.size() >= MaxEnds) {
+    // Ends that count once must not displace the others.
+    bool CountsAlready =
+        wasAnswered(Suspect, End.At) &&
+        std::any_of(Suspect.Ends.begin(), Suspect.Ends.end(),
+                    [&](const server_end &Known) {
+                      return End.At < Known.At + TogetherTime &&
+                             Known.At < End.At + TogetherTime;
+                    });
+    if (CountsAlready)
+      return false;
     auto Oldest = std::min_element(
         Suspect.Ends.begin(), Suspect.Ends.end(),
         [](const server_end &A, const server_end &B) { return A.At < B.At; });
--- a/src/libchivebeam/routing/crash_suspects.h
+++ b/src/libchivebeam/routing/crash_suspects.h
@@ -9,7 +9,7 @@
 namespace chivebeam {
 
 /// A backend server ended while it ran a call; or, if Start is empty, such a
-/// call was answered by a backend server. A plain value.
+/// call was answered by a backend server, before or after that. A plain value.
 struct suspect_event {
   call_fingerprint Fingerprint;
   worker_start Start;
@@ -19,7 +19,9 @@
 /// Calls that ran when backend servers ended, from events of all nodes. A call
 /// that ran at the ends of several servers is refused for a time. A call that
 /// is answered is cleared of the ends before, since a crashing call never is.
-/// Neither order nor repetition of the events matters. Bounded in number and
+/// If it was answered before the ends, servers that end together count once:
+/// they ended for a reason that they share, such as a lost failure domain, and a
+/// call that many callers send runs on all of them. Neither order nor repetition of the events matters. Bounded in number and
 /// age. Not thread safe.
 class crash_suspects {
 public:
@@ -46,9 +48,12 @@
     instant AnsweredAt;
   };
 
-  bool applyEnd(suspect &Suspect, const server_end &End);
+  static bool applyEnd(suspect &Suspect, const server_end &End);
   static bool applyAnswer(suspect &Suspect, instant At);
+  /// Counts the ends since the last answer.
   static std::size_t countEnds(const suspect &Suspect);
+  /// True if the call was answered not long before this time.
+  static bool wasAnswered(const suspect &Suspect, instant Before);
   static instant lastEventOf(const suspect &Suspect);
   std::size_t endsOf(call_fingerprint Fingerprint) const;
   void removeOutdated(instant Now);
--- a/tests/mesh/crashing_request_test.cpp
+++ b/tests/mesh/crashing_request_test.cpp
@@ -178,4 +178,56 @@
   });
 }
 
+// Guards against the refusal of a page that each of several servers was running
+// when they crashed together, for a reason of their own.
+BOOST_AUTO_TEST_CASE(a_served_call_is_not_refused_if_servers_crash_together) {
+  crashing_mesh Mesh;
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.start();
+    bool IsCrash = false;
+    bool Holds = false;
+    for (std::size_t Index = 0; Index < Mesh.size(); ++Index) {
+      Mesh.worker(Index).Script.Crashes = [&](const request &) {
+        return IsCrash;
+      };
+      Mesh.worker(Index).Script.MayAnswer = [&] { return !Holds; };
+    }
+    auto CallPage = [&](std::size_t Node, const std::string &Id) {
+      return Mesh.call(Node, Mesh.get("/kassa/page", Id));
+    };
+    // Each server has answered the page before.
+    for (unsigned Number = 0; Number < 60; ++Number) {
+      auto Answer = co_await CallPage(Number % Mesh.size(),
+                                      "before-" + std::to_string(Number));
+      BOOST_TEST(statusOf(Answer) == 200u);
+    }
+    Holds = true;
+    for (unsigned Number = 0; Number < 24; ++Number)
+      asio::co_spawn(
+          Mesh.context(),
+          [&, Number]() -> awaitable<void> {
+            co_await CallPage(Number % Mesh.size(),
+                              "during-" + std::to_string(Number));
+          },
+          asio::detached);
+    auto RunningServers = [&] {
+      std::size_t Count = 0;
+      for (std::size_t Index = 0; Index < Mesh.size(); ++Index)
+        Count += Mesh.worker(Index).Running > 0 ? 1 : 0;
+      return Count;
+    };
+    co_await Mesh.until([&] { return RunningServers() >= CrashesToRefuse; });
+    IsCrash = true;
+    Holds = false;
+    co_await Mesh.until([&] { return Mesh.crashes() >= CrashesToRefuse; });
+    co_await Mesh.pause(NewsTime);
+    IsCrash = false;
+    co_await Mesh.pause(seconds(2));
+    for (std::size_t Index = 0; Index < Mesh.size(); ++Index) {
+      auto Answer = co_await CallPage(Index, "after-" + std::to_string(Index));
+      BOOST_TEST(statusOf(Answer) == 200u);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/crash_suspects_test.cpp
+++ b/tests/routing/crash_suspects_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "routing/answered_calls.h"
 #include "routing/broken_calls.h"
 #include "routing/crash_suspects.h"
 
@@ -70,6 +71,65 @@
   BOOST_TEST(!isRefused(Suspects, Now));
 }
 
+// Guards against the refusal of a call that many callers send, after servers
+// ended together for a reason of their own.
+BOOST_AUTO_TEST_CASE(servers_that_end_together_count_once_for_a_served_call) {
+  for (bool WasServed : {true, false}) {
+    crash_suspects Suspects;
+    instant Now = Start + seconds(20);
+    if (WasServed)
+      Suspects.apply(answerAt(seconds(0)), Now);
+    for (int Number = 1; Number <= 20; ++Number)
+      Suspects.apply({Crashing, server(Number),
+                      Start + seconds(1) + milliseconds(40 * Number)},
+                     Now);
+    BOOST_TEST(Suspects.mayRetry(Crashing) == WasServed);
+    BOOST_TEST(isRefused(Suspects, Now) == !WasServed);
+  }
+}
+
+// Guards against a call that crashes servers only from some time on and is
+// never refused, whether its servers end together or one by one.
+BOOST_AUTO_TEST_CASE(a_served_call_is_refused_after_three_groups_of_ends) {
+  for (int Servers : {1, 2, 12, 20}) {
+    crash_suspects Suspects;
+    Suspects.apply(answerAt(seconds(0)), Start);
+    std::int64_t Number = 0;
+    for (int Group = 1; Group <= 3; ++Group) {
+      instant Now = Start + seconds(3 * Group);
+      BOOST_TEST(!isRefused(Suspects, Now));
+      for (int Server = 0; Server < Servers; ++Server)
+        Suspects.apply(
+            {Crashing, server(++Number), Now + milliseconds(10 * Server)},
+            Now + seconds(1));
+    }
+    BOOST_TEST(isRefused(Suspects, Start + seconds(10)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_old_answer_does_not_excuse_ends) {
+  crash_suspects Suspects;
+  instant Now = Start + std::chrono::minutes(11);
+  Suspects.apply(answerAt(seconds(0)), Start);
+  for (int Number = 1; Number <= 3; ++Number)
+    Suspects.apply({Crashing, server(Number), Now}, Now);
+  BOOST_TEST(isRefused(Suspects, Now));
+}
+
+BOOST_AUTO_TEST_CASE(answers_are_remembered_until_others_take_their_place) {
+  auto Answered = std::make_unique<answered_calls>();
+  BOOST_TEST(!Answered->lastAnswer(Crashing).has_value());
+  Answered->add(Crashing, Start);
+  Answered->add(Other, Start + seconds(1));
+  BOOST_TEST((Answered->lastAnswer(Crashing) == Start));
+  BOOST_TEST((Answered->lastAnswer(Other) == Start + seconds(1)));
+  Answered->add(call_fingerprint(), Start);
+  BOOST_TEST(!Answered->lastAnswer(call_fingerprint()).has_value());
+  for (std::uint64_t Number = 100; Number < 10'000; ++Number)
+    Answered->add(call_fingerprint(Number), Start);
+  BOOST_TEST(!Answered->lastAnswer(Crashing).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(order_and_repetition_of_events_do_not_matter) {
   std::vector<suspect_event> Events{endOf(1, seconds(1)), answerAt(seconds(2)),
                                     endOf(2, seconds(3)), endOf(3, seconds(4)),
