Note a leave that was acknowledged during an outage of the store

Cause: the node acknowledges the notice also if the store can't note it, and wrote the note only once. So the note in the store still said that the server runs, and the next process announced it.

Change: a note that is owed is written until the store confirms it, without a bound on the time; a stopping node waits for it within its grace period, and a process that learns of the leave from other nodes writes it as well. A store that came back from a copy owes it again, as before. The acknowledgement is still given at once: the calls end at once, and without it the server leaves all the same some seconds later.

Not covered: all processes end while the store is still down.

--- a/src/chivebeam/mesh/mesh_node.cpp
+++ b/src/chivebeam/mesh/mesh_node.cpp
@@ -297,7 +297,7 @@
   MoveExecutor.forgetStore(Era);
   OperatorSubscription.restart();
   MeshSubscription.restart();
-  asio::co_spawn(Context, Workers.storeLeaving(), asio::detached);
+  Workers.storeRestored();
 }
 
 void mesh_node::checkSuspension() {
--- a/src/chivebeam/mesh/mesh_node_stop.cpp
+++ b/src/chivebeam/mesh/mesh_node_stop.cpp
@@ -83,7 +83,7 @@
 
 bool mesh_node::hasWork() const {
   return Router.openCalls() > 0 || Home.active() > 0 || Hub.isServing() ||
-         Callers.isBusy();
+         Callers.isBusy() || Workers.owesLeavingNote();
 }
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/worker_report_handler.cpp
+++ b/src/chivebeam/mesh/worker_report_handler.cpp
@@ -12,8 +12,6 @@
 /// The backend server waits one second for the answer to a report.
 constexpr milliseconds MaxReportDelay{700};
 constexpr milliseconds LoadedCheckInterval{10};
-/// The store may be away for some seconds when it comes back from a copy.
-constexpr int MaxSaveAttempts = 30;
 constexpr milliseconds SaveRetryInterval{300};
 
 } // namespace
@@ -56,9 +54,10 @@
     result<std::optional<home_record>> Stored = co_await Notes.load();
     if (!Stored)
       log_event("leaving_unknown").add("error", Stored.error().text());
-    else if (*Stored && (*Stored)->Worker.State == worker_state::leaving)
+    else if (*Stored && (*Stored)->Worker.State == worker_state::leaving) {
+      NotedLeaving = (*Stored)->Start;
       restoreLeaving(**Stored);
-    else if (*Stored && !EarlyCopy)
+    } else if (*Stored && !EarlyCopy)
       EarlyCopy = **Stored;
   } else {
     Notes.assumeNone();
@@ -98,6 +97,9 @@
         .add("report", Copy.Report);
   }
   announce();
+  // The process that acknowledged the leave may have ended before the store had
+  // noted it.
+  asio::co_spawn(Context, storeLeaving(), asio::detached);
 }
 
 void worker_report_handler::restoreLeaving(const home_record &Stored) {
@@ -126,17 +128,41 @@
   announce();
 }
 
-awaitable<void> worker_report_handler::storeLeaving() {
+void worker_report_handler::storeRestored() {
+  ++StoreRestores;
+  NotedLeaving.reset();
   Notes.forgetRevision();
-  auto IsLeaving = [this] {
-    return Reports.current() &&
-           Reports.current()->Worker.State == worker_state::leaving;
-  };
-  for (int Attempt = 0; Attempt < MaxSaveAttempts && IsLeaving(); ++Attempt) {
-    if (co_await Notes.saveLeaving(State.ownRecord()))
-      co_return;
-    co_await sleepFor(SaveRetryInterval);
+  asio::co_spawn(Context, storeLeaving(), asio::detached);
+}
+
+bool worker_report_handler::owesLeavingNote() const {
+  const std::optional<worker_report> &Known = Reports.current();
+  return Known && Known->Worker.State == worker_state::leaving &&
+         NotedLeaving != Known->Start;
+}
+
+awaitable<bool> worker_report_handler::noteLeaving() {
+  worker_start Start = Reports.current()->Start;
+  unsigned RestoresBefore = StoreRestores;
+  bool Stored = co_await Notes.saveLeaving(State.ownRecord());
+  // A store that was restored meanwhile may have lost the note again.
+  if (Stored && StoreRestores == RestoresBefore)
+    NotedLeaving = Start;
+  co_return Stored;
+}
+
+awaitable<void> worker_report_handler::storeLeaving() {
+  if (std::exchange(StoringLeaving, true))
+    co_return;
+  while (owesLeavingNote()) {
+    worker_id Worker = Reports.current()->Start.Worker;
+    bool Stored = co_await noteLeaving();
+    if (Stored)
+      log_event("leaving_stored").add("worker", Worker);
+    else
+      co_await sleepFor(SaveRetryInterval);
   }
+  StoringLeaving = false;
 }
 
 bool worker_report_handler::isKnownService(const service_name &Name) const {
@@ -191,11 +217,10 @@
   if (Effect == report_effect::started && !Leaving)
     asio::co_spawn(co_await asio::this_coro::executor,
                    Notes.saveStarted(State.ownRecord()), asio::detached);
-  bool Stored = true;
-  if (Leaving)
-    Stored = co_await Notes.saveLeaving(State.ownRecord());
-  if (!Stored)
+  if (Leaving && !co_await noteLeaving()) {
     log_event("leaving_not_stored").add("worker", Message->Worker);
+    asio::co_spawn(Context, storeLeaving(), asio::detached);
+  }
   co_return Protocol.acknowledge();
 }
 
--- a/tests/mesh/changes_test.cpp
+++ b/tests/mesh/changes_test.cpp
@@ -28,6 +28,39 @@
   });
 }
 
+// Guards against a leave that is acknowledged while the store is down and that
+// the store never learns of, so that later processes use the server again.
+BOOST_AUTO_TEST_CASE(a_leave_during_an_outage_is_noted_after_it) {
+  for (bool IsNodeStopping : {false, true}) {
+    mesh_fixture Mesh({"desk", "kassa", "kassa"});
+    Mesh.run([&]() -> awaitable<void> {
+      co_await Mesh.ready();
+      Mesh.store().Switches.Down = true;
+      unsigned Acknowledged = co_await Mesh.leave(1);
+      BOOST_TEST(Acknowledged == 200u);
+      if (IsNodeStopping)
+        Mesh.node(1).beginStop();
+      co_await Mesh.pause(seconds(4));
+      BOOST_TEST(!Mesh.leavingNoted(1));
+      BOOST_TEST(!Mesh.stopped(1));
+      Mesh.store().Switches.Down = false;
+      co_await Mesh.until([&] { return Mesh.leavingNoted(1); });
+    });
+  }
+}
+
+// Guards against a note that is lost with the process that owed it.
+BOOST_AUTO_TEST_CASE(a_later_process_notes_a_leave_that_other_nodes_know) {
+  mesh_fixture Mesh({"desk", "kassa", "kassa"});
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    co_await Mesh.leave(1);
+    Mesh.store().remove("chivebeam-server/node-1");
+    co_await Mesh.replaceNode(1);
+    co_await Mesh.until([&] { return Mesh.leavingNoted(1); });
+  });
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_node_sends_no_calls_to_a_leaving_server) {
   mesh_fixture Mesh({"kassa"});
   Mesh.run([&]() -> awaitable<void> {
