Check the head of an answer before it is parsed and passed on

Callers saw: in a test, an answer with the status 600 or 999, or with a folded line, passed on as their answer. An answer with 9,000 fields closed the connection between two nodes ("bad_frame"; 503 for the next call in the test). By the code, a status of 000 or 099 was taken for an interim answer, so that the call waited for the next one.

Cause: what is an answer was decided by what the HTTP library refuses. It takes any three digits as a status and joins folded lines, and bounds neither the number of fields nor, in pieces, their bytes. Blanks and control bytes in names were refused by it, but by nothing of this project.

Change: checkAnswerHead, a pure function with a table as its test, decides on the bytes of the whole head, before the parser gets them: status line, status 100 or 102 to 599, names that are tokens, no control bytes, no folded lines, one unambiguous framing, up to 1,000 fields. readAnswerHead calls it for backend servers, the relays of chivebeam node, the store and its watches, and bounds the bytes that wait. A refused head ends its exchange at once as lost, with its reason in the log. What an answer's fields and framing take in memory is charged to the account of answers.

--- a/src/chivebeam/data/http_exchange.cpp
+++ b/src/chivebeam/data/http_exchange.cpp
@@ -3,15 +3,12 @@
 #include <array>
 
 #include "data/call_headers.h"
-#include "net/http_reads.h"
 
 namespace chivebeam {
 
 namespace {
 
 constexpr std::size_t PieceBytes = request_body::MaxBufferedBytes;
-constexpr std::uint32_t MaxAnswerHeaderBytes = 64 << 10;
-constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned FirstFinalStatus = 200;
 
 using piece = std::array<char, PieceBytes>;
@@ -174,13 +171,11 @@
   do {
     Answer = std::make_unique<answer_parser>();
     Answer->body_limit(boost::none);
-    Answer->header_limit(MaxAnswerHeaderBytes);
     Answer->skip(Request.get().method() == http::verb::head);
-    co_await http::async_read_header(Upstream, AnswerBuffer, *Answer,
-                                     orError(Code));
+    Code = co_await readAnswerHead(Upstream, AnswerBuffer, *Answer);
     if (!Cancellation.active())
       Code = asio::error::operation_aborted;
-    if (Code || Answer->get().result_int() == SwitchingProtocols) {
+    if (Code) {
       Answer.reset();
       Result.End = endUnlessCallerGone(Result.End);
       co_return false;
--- a/src/chivebeam/data/http_exchange.h
+++ b/src/chivebeam/data/http_exchange.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "data/request_body.h"
+#include "net/http_reads.h"
 #include "net/trailerless_parser.h"
 
 namespace chivebeam {
@@ -85,7 +86,7 @@
   request_body &Body;
   call_cancellation &Cancellation;
   exchange_result Result;
-  beast::flat_buffer AnswerBuffer;
+  beast::flat_buffer AnswerBuffer{MaxUnparsedAnswerBytes};
   std::unique_ptr<answer_parser> Answer;
   bool BodyFailed = false;
   bool NotAdmitted = false;
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -12,21 +12,19 @@
 
 namespace {
 
-constexpr std::uint32_t MaxAnswerHeaderBytes = 64 << 10;
 /// Answers to other calls that are skipped, since a faulty backend server may
 /// send some first. After more of them the attempt fails.
 constexpr int MaxMismatchedAnswers = 4;
 constexpr int MaxInterimAnswers = 16;
 /// A connection on which more calls were refused is not used again.
 constexpr std::size_t MaxNotedRefusals = 16;
-/// Bytes that wait to be parsed: a header, or the line before a chunk, which
-/// may have extensions of any length.
-constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 /// A read buffer that has grown beyond this size is freed after the call.
 constexpr std::size_t MaxKeptBytes = 16 << 10;
 /// Bodies up to this size fit the socket's buffer and are written together with
 /// the header.
 constexpr std::size_t OneWriteBytes = 16 << 10;
+/// Memory that a field of an answer takes beside its text.
+constexpr std::size_t FieldBytes = 128;
 
 std::string writeHead(const mesh_call &Call, const header_list &Fields) {
   std::string Head;
@@ -46,7 +44,7 @@
 answer_end endOf(const error_code &Code) {
   bool IsHttpError = Code.category() ==
                      http::make_error_code(http::error::bad_value).category();
-  if (Code == asio::error::no_memory)
+  if (Code == asio::error::no_memory || Code.category() == answerHeadCategory())
     return answer_end::invalid;
   bool IsClosed = !IsHttpError || Code == http::error::end_of_stream ||
                   Code == http::error::partial_message;
@@ -58,7 +56,7 @@
 worker_connection::worker_connection(tcp::socket WorkerSocket,
                                      body_budget &AnswerBudget)
     : Socket(std::move(WorkerSocket)), Answers(AnswerBudget),
-      Buffer(MaxUnparsedBytes) {}
+      Buffer(MaxUnparsedAnswerBytes) {}
 
 bool worker_connection::isIdle() {
   char Byte = 0;
@@ -117,14 +115,16 @@
 
 awaitable<error_code> worker_connection::read(answer_parser &Parser,
                                               body_reservation &Held) {
-  error_code Code;
+  error_code Code = co_await readAnswerHead(Socket, Buffer, Parser);
+  const http::fields &Fields = Parser.get();
+  const std::size_t HeadBytes =
+      fieldBytes(Fields) + FieldBytes * static_cast<std::size_t>(std::distance(
+                                            Fields.begin(), Fields.end()));
+  body_reservation HeldBeside = *Answers.reserve(0);
   while (!Code && !Parser.is_done()) {
-    const bool InHeader = !Parser.is_header_done();
     Code = co_await readSome(Socket, Buffer, Parser);
-    // The parser's own limit holds anew for each piece that ends with a line.
-    if (InHeader && fieldBytes(Parser.get()) > MaxAnswerHeaderBytes)
-      co_return error_code(http::error::header_limit);
-    if (!Held.growTo(Parser.get().body().size()))
+    if (!Held.growTo(Parser.get().body().size()) ||
+        !HeldBeside.growTo(HeadBytes + Buffer.size()))
       co_return error_code(asio::error::no_memory);
   }
   co_return Code;
@@ -138,7 +138,6 @@
   while (Mismatched <= MaxMismatchedAnswers && Interim <= MaxInterimAnswers) {
     answer_parser Parser;
     Parser.body_limit(MaxAnswerBytes);
-    Parser.header_limit(MaxAnswerHeaderBytes);
     Parser.skip(Call.Method == "HEAD");
     body_reservation Held = *Answers.reserve(0);
     error_code Code = co_await read(Parser, Held);
--- a/src/chivebeam/net/http_client.cpp
+++ b/src/chivebeam/net/http_client.cpp
@@ -1,7 +1,7 @@
 #include "net/http_client.h"
 
-#include "net/trailerless_parser.h"
 #include "net/http_reads.h"
+#include "net/trailerless_parser.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -59,12 +59,13 @@
   Stream->expires_after(Timeout);
   error_code Code;
   co_await http::async_write(*Stream, Request, orError(Code));
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxUnparsedAnswerBytes);
   trailerless_response_parser<http::string_body> Parser;
   Parser.body_limit(MaxBodyBytes);
   if (!Code)
-    while (!Code && !Parser.is_done())
-      Code = co_await readSome(*Stream, Buffer, Parser);
+    Code = co_await readAnswerHead(*Stream, Buffer, Parser);
+  while (!Code && !Parser.is_done())
+    Code = co_await readSome(*Stream, Buffer, Parser);
   if (Code) {
     Stream.reset();
     co_return tl::unexpected(makeError(error_kind::unknown_effect, Code));
--- a/src/chivebeam/store/gateway_store.cpp
+++ b/src/chivebeam/store/gateway_store.cpp
@@ -142,11 +142,10 @@
 awaitable<error> gateway_store::readWatch(beast::tcp_stream &Stream,
                                           const watch_handler &Handler) {
   const address Server = Servers[Current];
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxUnparsedAnswerBytes);
   trailerless_response_parser<http::buffer_body> Parser;
   Parser.body_limit(boost::none);
-  error_code Code;
-  co_await http::async_read_header(Stream, Buffer, Parser, orError(Code));
+  error_code Code = co_await readAnswerHead(Stream, Buffer, Parser);
   Stream.expires_never();
   std::string Pending;
   std::array<char, 16 << 10> Chunk;
--- a/tests/data/calls_test.cpp
+++ b/tests/data/calls_test.cpp
@@ -228,6 +228,27 @@
   });
 }
 
+// Guards against bytes that are no answer and are passed on as one.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_faulty_head_is_not_passed_on) {
+  for (std::string Head :
+       {"HTTP/1.1 000 None\r\n", "HTTP/1.1 600 None\r\n",
+        "HTTP/1.1 200 OK\r\nA b: c\r\n", "HTTP/1.1 200 OK\r\nA\x01: c\r\n",
+        "HTTP/1.1 200 OK\r\nA : c\r\n"}) {
+    call_fixture Fixture;
+    unsigned Requests = 0;
+    Fixture.addHome(answering(Head + "Content-Length: 2\r\n\r\nok", &Requests));
+    Fixture.open();
+    Fixture.run([&]() -> awaitable<void> {
+      caller Caller(Fixture.Context);
+      co_await Caller.connect(Fixture.Traffic);
+      auto Answer = co_await Caller.call(post("/kassa/x", "b"));
+      BOOST_REQUIRE(Answer);
+      BOOST_TEST(Answer->result_int() >= 500u);
+      BOOST_TEST(Requests == 1u);
+    });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(pipelined_calls_are_answered_in_their_order) {
   call_fixture Fixture;
   Fixture.addHome(echo());
--- a/tests/fuzz/answer_target.cpp
+++ b/tests/fuzz/answer_target.cpp
@@ -7,6 +7,7 @@
 
 #include "fuzz/fuzz_checks.h"
 #include "fuzz/piece_reader.h"
+#include "limits/answer_head.h"
 #include "mesh/worker_connection.h"
 #include "net/clock.h"
 #include "platform/http_protocol.h"
@@ -98,10 +99,11 @@
   }
   require(headerBytesOf(Answer) <= MaxHeaderBytes,
           "a header is over its limit");
-  require(Answer.Status >= 200 && Answer.Status <= 999,
+  require(Answer.Status >= 200 && Answer.Status <= 599,
           "an answer has no final status");
   require(platform::http_call_protocol().isAnswerTo(Answer.Fields, Call.Id),
           "an answer to another call was taken");
+  require(Answer.Fields.size() <= MaxAnswerFields, "an answer has many fields");
   for (const header_field &Field : Answer.Fields)
     require((Field.Name + Field.Text).find_first_of("\r\n") ==
                 std::string::npos,
--- a/tests/mesh/spoiled_answer_test.cpp
+++ b/tests/mesh/spoiled_answer_test.cpp
@@ -1,5 +1,5 @@
-// Tests answers of faulty backend servers that go on behind the last chunk of
-// their bodies.
+// Tests answers of faulty backend servers that are no HTTP, or that go on
+// behind the last chunk of their bodies.
 #include <boost/test/unit_test.hpp>
 
 #include "mesh_fixture.h"
@@ -23,9 +23,19 @@
     };
   }
 
-  /// Sends an answer in chunks that ends with Trailer, if one is set, and
-  /// closes the connection; otherwise a sound answer.
+  /// Sends an answer that begins with FaultyStart, or one in chunks that ends
+  /// with Trailer, if one is set, and closes the connection; otherwise a sound
+  /// answer.
   awaitable<void> answer(tcp::socket &Socket, const request &Request) {
+    error_code Ignored;
+    if (!FaultyStart.empty()) {
+      co_await write(Socket, std::exchange(FaultyStart, "") + "Request-Id: " +
+                                 std::string(Request["Request-Id"]) +
+                                 "\r\nResponse-Signature: s\r\n"
+                                 "Content-Length: 5\r\n\r\nwhole");
+      Socket.close(Ignored);
+      co_return;
+    }
     std::string Head =
         "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
         "\r\nResponse-Signature: s\r\n";
@@ -35,11 +45,11 @@
                                "Transfer-Encoding: chunked\r\n\r\n"
                                "5\r\nwhole\r\n0\r\n" +
                                std::exchange(Trailer, ""));
-    error_code Ignored;
     Socket.close(Ignored);
   }
 
-  std::string Trailer; ///< of the next answer
+  std::string FaultyStart; ///< of the next answer
+  std::string Trailer;     ///< of the next answer
 };
 
 } // namespace
@@ -71,4 +81,47 @@
   });
 }
 
+// Guards against bytes that are no answer and reach a caller as one: an absurd
+// status, or a field with an odd name or value.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_faulty_head_reaches_no_caller) {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  std::string ManyFields = Ok;
+  for (unsigned Field = 0; Field < 9'000; ++Field)
+    ManyFields += "A:\r\n";
+  const std::string Starts[] = {"HTTP/1.1 000 None\r\n",
+                                "HTTP/1.1 099 None\r\n",
+                                "HTTP/1.1 101 Switching Protocols\r\n",
+                                "HTTP/1.1 600 None\r\n",
+                                "HTTP/1.1 999 None\r\n",
+                                Ok + "A b: c\r\n",
+                                Ok + "A : c\r\n",
+                                Ok + "A\x01: c\r\n",
+                                Ok + "A\x7f: c\r\n",
+                                Ok + std::string("A\0: c\r\n", 7),
+                                Ok + ": c\r\n",
+                                Ok + "A: b\x01\r\n",
+                                Ok + "A: b\rContent-Length: 2\r\n",
+                                Ok + "A: b\r\n c: d\r\n",
+                                Ok + "Content-Length: 2\r\n",
+                                Ok + "Transfer-Encoding: gzip, chunked\r\n",
+                                ManyFields};
+  kassa_mesh Mesh;
+  Mesh.run([&]() -> awaitable<void> {
+    co_await Mesh.ready();
+    unsigned Sent = 0;
+    for (const std::string &Start : Starts)
+      for (std::size_t Entry : {0, 1}) {
+        Mesh.FaultyStart = Start;
+        std::size_t Before = Mesh.worker(1).Received.size();
+        auto Answer = co_await Mesh.call(
+            Entry,
+            Mesh.post("/pay/kassa/1", "c" + std::to_string(Sent++), "x"));
+        BOOST_TEST(statusOf(Answer) == 502u, Start.substr(0, 50));
+        BOOST_TEST(Mesh.worker(1).Received.size() == Before + 1);
+        auto Next = co_await Mesh.call(Entry, Mesh.get("/kassa/1", "next"));
+        BOOST_TEST(statusOf(Next) == 200u);
+      }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
