Take an answer without a length as whole only if its request was sent

A server answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is being written.

Cause: the kernel reports a reset once, to whichever operation comes first. The write of the upload gets it; the read then sees a plain end of the stream, which ends an answer without a length. The relays of chivebeam node read the answer after a failed write and had the same fault.

Change: at the end of such an answer the connection waits, half a second at the most, for the write of the request to end; if that failed or goes on, the answer counts as cut, and the call as lost. The relay takes no answer without a length after a failed write. Answers whose own framing shows their end pass as before, as does one whose server reads the whole request.

--- a/src/chivebeam/data/http_exchange.cpp
+++ b/src/chivebeam/data/http_exchange.cpp
@@ -62,19 +62,18 @@
                                               const hooks &Hooks) {
   Cancellation.onCancel([&] { Upstream.close(); });
   Cancellation.watchCaller();
-  bool Sent = false;
   if (!Body.isStreamed())
-    Sent = co_await sendBufferedBody(Upstream);
+    RequestSent = co_await sendBufferedBody(Upstream);
   else if (Hooks.ExpectContinue)
-    Sent = co_await sendAfterContinue(Upstream);
+    RequestSent = co_await sendAfterContinue(Upstream);
   else
-    Sent = co_await sendStreamedBody(Upstream);
+    RequestSent = co_await sendStreamedBody(Upstream);
   Cancellation.onCancel([&] { Upstream.close(); });
   if (NotAdmitted) {
     Result.End = endUnlessCallerGone(exchange_end::not_admitted);
   } else if (!BodyFailed) {
-    Result.End = endUnlessCallerGone(Sent ? exchange_end::no_answer
-                                          : exchange_end::request_failed);
+    Result.End = endUnlessCallerGone(
+        RequestSent ? exchange_end::no_answer : exchange_end::request_failed);
     // A server may answer early and stop reading, so its answer is read even if
     // the request was not sent completely.
     if (Cancellation.active() && (Answer || co_await readAnswer(Upstream)))
@@ -224,6 +223,10 @@
       co_return;
   if (!answerMatchesRequest())
     co_return;
+  // The write may have got the only report of a reset, so that the end of this
+  // answer could not be told from a cut.
+  if (Answer->need_eof() && !RequestSent)
+    co_return;
   Result.Status = Answer->get().result_int();
   // If the body was not sent completely, the connection is in a known state
   // only if the server answered Expect: 100-continue before any of the body was
--- a/src/chivebeam/data/http_exchange.h
+++ b/src/chivebeam/data/http_exchange.h
@@ -88,6 +88,7 @@
   exchange_result Result;
   beast::flat_buffer AnswerBuffer{MaxUnparsedAnswerBytes};
   std::unique_ptr<answer_parser> Answer;
+  bool RequestSent = false; ///< completely
   bool BodyFailed = false;
   bool NotAdmitted = false;
 };
--- a/src/chivebeam/mesh/worker_connection.cpp
+++ b/src/chivebeam/mesh/worker_connection.cpp
@@ -23,6 +23,9 @@
 /// Bodies up to this size fit the socket's buffer and are written together with
 /// the header.
 constexpr std::size_t OneWriteBytes = 16 << 10;
+/// Time in which the rest of a request is written after the server has ended
+/// its answer.
+constexpr milliseconds MaxSendTail{500};
 /// Memory that a field of an answer takes beside its text.
 constexpr std::size_t FieldBytes = 128;
 
@@ -56,7 +59,7 @@
 worker_connection::worker_connection(tcp::socket WorkerSocket,
                                      body_budget &AnswerBudget)
     : Socket(std::move(WorkerSocket)), Answers(AnswerBudget),
-      Buffer(MaxUnparsedAnswerBytes) {}
+      Buffer(MaxUnparsedAnswerBytes), SendEnd(Socket.get_executor()) {}
 
 bool worker_connection::isIdle() {
   char Byte = 0;
@@ -74,6 +77,7 @@
 awaitable<void> worker_connection::send(shared_body Head, shared_body Body) {
   std::shared_ptr<worker_connection> Self = shared_from_this();
   SendDone = false;
+  SendFailed = false;
   std::array<asio::const_buffer, 2> Parts{asio::buffer(*Head),
                                           asio::const_buffer()};
   if (Body)
@@ -82,6 +86,16 @@
   co_await asio::async_write(Socket, Parts, orError(Code));
   SendDone = !Code;
   SendFailed = static_cast<bool>(Code);
+  SendEnd.cancel();
+}
+
+awaitable<bool> worker_connection::awaitSent() {
+  if (!SendDone && !SendFailed) {
+    SendEnd.expires_after(MaxSendTail);
+    error_code Ignored;
+    co_await SendEnd.async_wait(orError(Ignored));
+  }
+  co_return SendDone;
 }
 
 mesh_answer worker_connection::lostAnswer(const error_code &Code) const {
@@ -161,6 +175,12 @@
       Reusable = Reusable && IsInterim;
       continue;
     }
+    // The kernel reports a reset once. If the write of the request gets it, the
+    // answer seems to end as one without a length does.
+    if (Parser.need_eof() && !co_await awaitSent()) {
+      AnswerEnd = answer_end::closed;
+      co_return lostAnswer(http::error::partial_message);
+    }
     parseKeepAlive(Response.base());
     AnswerEnd =
         Parser.need_eof() ? answer_end::until_close : answer_end::complete;
--- a/src/chivebeam/mesh/worker_connection.h
+++ b/src/chivebeam/mesh/worker_connection.h
@@ -49,6 +49,9 @@
   /// body.
   awaitable<error_code> read(answer_parser &Parser, body_reservation &Held);
   awaitable<void> send(shared_body Head, shared_body Body);
+  /// Waits for a short time until the request is written; returns whether it
+  /// is.
+  awaitable<bool> awaitSent();
   awaitable<mesh_answer> readAnswer(const mesh_call &Call,
                                     const call_protocol &Protocol);
   void noteRefusal(const request_id &Id);
@@ -64,6 +67,7 @@
   std::vector<request_id> Refused; ///< calls that were refused on it
   bool SendDone = true;
   bool SendFailed = false;
+  asio::steady_timer SendEnd; ///< cancelled when a write ends
   bool TimedOut = false;
   answer_end AnswerEnd = answer_end::closed;
   exchange_outcome End = exchange_outcome::answered;
--- a/tests/data/calls_test.cpp
+++ b/tests/data/calls_test.cpp
@@ -228,6 +228,30 @@
   });
 }
 
+// Guards against a relay that passes on an answer without a length as whole,
+// though its server reset the connection while the request was written.
+BOOST_AUTO_TEST_CASE(a_reset_during_an_upload_never_makes_an_answer_whole) {
+  call_fixture Fixture;
+  Fixture.addHome([&](tcp::socket &Socket) -> awaitable<void> {
+    std::string Read(4 << 10, '\0');
+    error_code Code;
+    co_await Socket.async_read_some(asio::buffer(Read), orError(Code));
+    co_await tests::write(Socket, "HTTP/1.1 200 OK\r\n\r\npart");
+    co_await sleepFor(milliseconds(20));
+    tests::reset(Socket);
+  });
+  Fixture.open();
+  Fixture.run([&]() -> awaitable<void> {
+    for (unsigned Round = 0; Round < 5; ++Round) {
+      caller Caller(Fixture.Context);
+      co_await Caller.connect(Fixture.Traffic);
+      auto Answer =
+          co_await Caller.call(post("/kassa/x", std::string(4 << 20, 'u')));
+      BOOST_TEST((!Answer || Answer->result_int() >= 500));
+    }
+  });
+}
+
 // Guards against bytes that are no answer and are passed on as one.
 BOOST_AUTO_TEST_CASE(an_answer_with_a_faulty_head_is_not_passed_on) {
   for (std::string Head :
