--- a/src/libchivebeam/routing/crash_suspects.h
+++ b/src/libchivebeam/routing/crash_suspects.h
@@ -20,9 +20,10 @@
 /// that ran at the ends of several servers is refused for a time. A call that
 /// is answered is cleared of the ends before, since a crashing call never is.
 /// If it was answered before the ends, servers that end together count once:
-/// they ended for a reason that they share, such as a lost failure domain, and a
-/// call that many callers send runs on all of them. Neither order nor repetition of the events matters. Bounded in number and
-/// age. Not thread safe.
+/// they ended for a reason that they share, such as a lost failure domain, and
+/// a call that many callers send runs on all of them. Neither order nor
+/// repetition of the events matters. Bounded in number and age. Not thread
+/// safe.
 class crash_suspects {
 public:
   /// Applies an event; returns whether it was new, so that other nodes may not
