Refuse calls that a stopping node would have to cut

Callers saw: in a test with a grace period of 3.6 s and payments of 0.8 s, the ones that came in the last moments before the node closed were taken, passed on and cut with 502 when their server was at work (15 of them). With the grace period of the sites, 6 s, that needs calls of over two seconds.

Cause: a stopping node takes calls for 2.8 s, until its callers must have left, whatever time is left for them after that. What still runs at ten twelfths of the grace period is ended.

Change: stop_schedule holds the times of a stop and decides which calls may still start: those whose deadline, or one and a half of their usual time, is inside what is left. The entry node and the home node, which adds the wait in its queue, refuse the others at once as not run, so that they go to other nodes or come back. Calls that waited for their usage cap are checked again. A home node answers calls of other nodes as long as those of its own callers.

--- a/src/chivebeam/mesh/entry_router.cpp
+++ b/src/chivebeam/mesh/entry_router.cpp
@@ -94,8 +94,7 @@
       *checkKey(*Entry.View->Config, *Route, Request.Key);
   std::optional<request_id> Parent = Protocol.parentOf(Request.Id);
   Preparer.prepare(Entry, *Route, Permission, std::move(Request));
-  // A call that could outlast this process is left to another node.
-  if (LastAnswerAt && (!Parent || Entry.Call.Deadline > *LastAnswerAt))
+  if (isTooLate(Entry, currentTime()))
     co_return ownResult(own_answer::not_run);
   OpenCalls.insert(&Entry);
   std::optional<microseconds> OverCapFor =
@@ -107,6 +106,8 @@
     co_return entry_result{
         entry_result::kind::own, {}, own_answer::over_cap, *OverCapFor};
   instant Now = currentTime();
+  if (isTooLate(Entry, Now))
+    co_return ownResult(own_answer::not_run);
   Entry.Call.IsRetry = Parent && Home.isRunningRetry(*Parent);
   if (Entry.Call.IsRetry)
     RetryBudget.recordRetry(Entry.Call.Service, Now);
@@ -133,8 +134,19 @@
   co_return Result;
 }
 
-std::size_t entry_router::endOpenCalls(instant LastAnswer) {
-  EndsAfter = LastAnswer;
+bool entry_router::isTooLate(const entry_call &Entry, instant Now) const {
+  if (!Stop)
+    return false;
+  const mesh_call &Call = Entry.Call;
+  // The call that a nested one belongs to runs here until its end.
+  if (Closed || Call.Nested)
+    return Closed && (!Call.Nested || Call.Deadline > Stop->answerUntil());
+  return !Stop->mayStart(Call.Deadline,
+                         Retries.usualTime(Entry, endpoint(), Now), Now);
+}
+
+std::size_t entry_router::endOpenCalls() {
+  EndsCalls = true;
   std::size_t Ended = 0;
   for (entry_call *Entry : OpenCalls) {
     if (!isEnding(*Entry))
@@ -147,7 +159,7 @@
 }
 
 bool entry_router::isEnding(const entry_call &Entry) const {
-  return EndsAfter && Entry.Call.Deadline > *EndsAfter;
+  return EndsCalls && Entry.Call.Deadline > Stop->answerUntil();
 }
 
 bool entry_router::isQuarantined(entry_call &Entry, instant Now) {
--- a/src/chivebeam/mesh/entry_router.h
+++ b/src/chivebeam/mesh/entry_router.h
@@ -12,6 +12,7 @@
 #include "routing/expected_latency_picker.h"
 #include "routing/free_slot_odds.h"
 #include "routing/hedge_policy.h"
+#include "routing/stop_schedule.h"
 #include "routing/windowed_retry_budget.h"
 
 namespace chivebeam {
@@ -58,13 +59,16 @@
   /// Updates the state that depends on the fleet view. Call after each change
   /// of the view.
   void viewChanged();
+  /// Refuses from now on calls that would not end before this node does.
+  void beginStop(const stop_schedule &Schedule) { Stop = Schedule; }
   /// Refuses new calls of outside callers from now on. Calls that are running
   /// continue to their end, as do nested calls that the backend server sends
-  /// meanwhile, if they end by LastAnswer at the latest.
-  void close(instant LastAnswer) { LastAnswerAt = LastAnswer; }
-  /// Ends the open calls whose deadline is after LastAnswer: each is answered
-  /// with what is known of it. Returns how many were ended.
-  std::size_t endOpenCalls(instant LastAnswer);
+  /// meanwhile, if they end in time. \pre beginStop was called
+  void close() { Closed = true; }
+  /// Ends the open calls whose deadline is after the time until which this node
+  /// answers: each is answered with what is known of it. Returns how many were
+  /// ended. \pre beginStop was called
+  std::size_t endOpenCalls();
   std::size_t openCalls() const { return OpenCalls.size(); }
   /// Sets the gauges of hedged requests, if they are enabled.
   void updateMetrics();
@@ -92,6 +96,9 @@
                               const mesh_answer &Answer, instant Now);
   /// Notes what the backend server says about itself in an answer.
   void recordNotice(const endpoint &Endpoint, const mesh_answer &Answer);
+  /// True if the call may not end before this node does, so that it is left to
+  /// another node.
+  bool isTooLate(const entry_call &Entry, instant Now) const;
   /// True if the call is ended before its deadline.
   bool isEnding(const entry_call &Entry) const;
   /// True if the call is nested or admitted as a call of an outside caller.
@@ -164,10 +171,9 @@
   call_log Log;
   std::function<bool()> ConfigMayBeStale = [] { return false; };
   std::set<entry_call *> OpenCalls;
-  /// Set once new calls are refused: the latest end of those that still run.
-  std::optional<instant> LastAnswerAt;
-  /// Set once open calls are ended: those with a later deadline.
-  std::optional<instant> EndsAfter;
+  std::optional<stop_schedule> Stop; ///< set once this node is to stop
+  bool Closed = false;               ///< to calls of outside callers
+  bool EndsCalls = false;            ///< that would last too long
 };
 
 } // namespace chivebeam
--- a/src/chivebeam/mesh/entry_router_hedging.cpp
+++ b/src/chivebeam/mesh/entry_router_hedging.cpp
@@ -15,7 +15,7 @@
 }
 
 bool entry_router::takeHedge(entry_call &Entry, instant Now) {
-  if (isEnding(Entry) || LastAnswerAt || !Retries.mayMoveOn(Entry, Now))
+  if (isEnding(Entry) || Closed || !Retries.mayMoveOn(Entry, Now))
     return false;
   const endpoint *Target = choose(Entry, Now);
   if (!Target)
--- a/src/chivebeam/mesh/home_runner.cpp
+++ b/src/chivebeam/mesh/home_runner.cpp
@@ -88,6 +88,12 @@
          Worker->Worker.State == worker_state::ready;
 }
 
+bool home_runner::isTooLate(const mesh_call &Call, const slot_request &Slot,
+                            instant Now) const {
+  return Stop && !Call.Nested &&
+         !Stop->mayStart(Call.Deadline, Queue.expectedLatency(Slot, Now), Now);
+}
+
 void home_runner::run(mesh_call Call, const cancel_signal &Cancel,
                       reply Reply) {
   auto Job = std::make_shared<job>();
@@ -137,7 +143,7 @@
   slot_request Slot = slotRequest(Call);
   body_offer Offer{Slot.Call, Call.OfferedBytes, Call.Goal, Call.Deadline,
                    Queue.expectedLatency(Slot, Now)};
-  if (!isForCurrentWorker(Call))
+  if (!isForCurrentWorker(Call) || isTooLate(Call, Slot, Now))
     Decide(refusal(MinRetryAfter, reasonNotForWorker()));
   else if (Connections.isUnreachable(Now))
     Decide(refusal(MinRetryAfter, "the backend server can't be reached"));
@@ -197,7 +203,7 @@
 awaitable<void> home_runner::serve(job_ptr Job) {
   instant Now = currentTime();
   const mesh_call &Call = Job->Call;
-  if (!isForCurrentWorker(Call))
+  if (!isForCurrentWorker(Call) || isTooLate(Call, Job->Slot, Now))
     co_return refuse(*Job, reasonNotForWorker());
   if (Connections.isUnreachable(Now))
     co_return refuse(*Job, "the backend server can't be reached");
--- a/src/chivebeam/mesh/home_runner.h
+++ b/src/chivebeam/mesh/home_runner.h
@@ -16,6 +16,7 @@
 #include "routing/broken_calls.h"
 #include "routing/fair_shares.h"
 #include "routing/slot_queue.h"
+#include "routing/stop_schedule.h"
 #include "routing/suspect_listener.h"
 
 namespace chivebeam {
@@ -56,6 +57,8 @@
   /// Applies when a report of the backend server says that its cold start ends.
   void coldStartReported(instant WarmAt);
   bool isServerCold() const { return Queue.coldStart().isCold(currentTime()); }
+  /// Refuses from now on calls that would not end before this node does.
+  void beginStop(const stop_schedule &Schedule) { Stop = Schedule; }
   /// Refuses all waiting and new calls as not run.
   void stop();
 
@@ -124,6 +127,9 @@
   /// Called when this start of the backend server is known to be gone.
   void serverEnded(const worker_start &Start, instant Now);
   bool isForCurrentWorker(const mesh_call &Call) const;
+  /// True if the call may not end before this node does.
+  bool isTooLate(const mesh_call &Call, const slot_request &Slot,
+                 instant Now) const;
   /// Returns why a call is not for the current backend server.
   std::string reasonNotForWorker() const;
   /// Called after the backend server, which may have ended, did not accept or
@@ -161,7 +167,8 @@
   suspect_listener &Suspects;
   leaving_handler OnServerLeaving = [](const worker_start &) {};
   std::optional<worker_report> Worker;
-  bool Stopping = false;
+  std::optional<stop_schedule> Stop; ///< set once this node is to stop
+  bool Stopping = false;             ///< no calls are taken any more
   bool Evacuated = false;
   slot_queue Queue;
   fair_shares Shares;
--- a/src/chivebeam/mesh/home_runner_server.cpp
+++ b/src/chivebeam/mesh/home_runner_server.cpp
@@ -42,8 +42,10 @@
 }
 
 std::string home_runner::reasonNotForWorker() const {
-  return Evacuated ? "the failure domain of this node is evacuated"
-                   : "the expected backend server is not beside this node";
+  if (Evacuated)
+    return "the failure domain of this node is evacuated";
+  return Stop ? "this node is about to stop"
+              : "the expected backend server is not beside this node";
 }
 
 void home_runner::setEvacuated(bool IsEvacuated) {
--- a/src/chivebeam/mesh/mesh_node.h
+++ b/src/chivebeam/mesh/mesh_node.h
@@ -82,7 +82,7 @@
   cold_start_limits coldStartLimits() const;
   void awaitSignal();
   void reload(std::string_view Why);
-  awaitable<void> stop();
+  awaitable<void> stop(stop_schedule Schedule);
   /// Answers the calls that are still open; waits until their answers are sent.
   awaitable<void> endOpenCalls(instant AnswerDeadline);
   /// True while calls run, or requests or answers are not transferred
--- a/src/chivebeam/mesh/mesh_node_stop.cpp
+++ b/src/chivebeam/mesh/mesh_node_stop.cpp
@@ -1,8 +1,6 @@
 // How a node stops: until when it serves calls, and when its process ends.
 #include "mesh/mesh_node.h"
 
-#include <algorithm>
-
 #include "net/clock.h"
 #include "telemetry/log_event.h"
 
@@ -10,15 +8,6 @@
 
 namespace {
 
-/// Callers check the readiness of a node every second and stop using it after
-/// two failed checks.
-constexpr milliseconds CallerDrainTime{2'800};
-/// Part of the grace period that is used for draining; the rest is left for the
-/// exit of the process.
-constexpr int UsableGraceParts = 10;
-/// Calls that are still open then are answered until this part.
-constexpr int AnswerGraceParts = 11;
-constexpr int GraceParts = 12;
 constexpr milliseconds AnswerCheckInterval{20};
 /// The node stops after no call has been in progress for this time.
 constexpr milliseconds IdleTimeBeforeExit{300};
@@ -31,31 +20,28 @@
   if (Stopping)
     return;
   Stopping = true;
+  stop_schedule Schedule(currentTime(), Settings.Grace);
   Callers.beginDraining();
+  Router.beginStop(Schedule);
+  Home.beginStop(Schedule);
   MoveExecutor.resign();
   Registrar.resign();
   log_event("node_stopping")
       .add("node", Settings.Node)
       .add("open_calls", Router.openCalls())
       .add("running_calls", Home.active());
-  asio::co_spawn(Context, stop(), asio::detached);
+  asio::co_spawn(Context, stop(Schedule), asio::detached);
 }
 
-awaitable<void> mesh_node::stop() {
-  instant Started = currentTime();
-  instant StopDeadline =
-      Started + Settings.Grace * UsableGraceParts / GraceParts;
-  instant AnswerDeadline =
-      Started + Settings.Grace * AnswerGraceParts / GraceParts;
-  co_await sleepFor(
-      std::min<microseconds>(CallerDrainTime, StopDeadline - Started));
+awaitable<void> mesh_node::stop(stop_schedule Schedule) {
+  co_await sleepFor(Schedule.callersGoneAt() - currentTime());
   // Calls that were accepted so far can still end within the grace period.
   // Other nodes use the backend server until here and then choose another one.
-  Router.close(AnswerDeadline);
+  Router.close();
   Workers.leave();
   Home.stop();
   instant IdleSince;
-  while (currentTime() < StopDeadline) {
+  while (currentTime() < Schedule.runUntil()) {
     Callers.closeIdle();
     instant Now = currentTime();
     bool IsIdle = !hasWork();
@@ -67,7 +53,7 @@
       break;
     co_await sleepFor(WorkCheckInterval);
   }
-  co_await endOpenCalls(AnswerDeadline);
+  co_await endOpenCalls(Schedule.answerUntil());
   log_event("node_stopped")
       .add("node", Settings.Node)
       .add("open_calls", Router.openCalls());
@@ -75,9 +61,11 @@
 }
 
 awaitable<void> mesh_node::endOpenCalls(instant AnswerDeadline) {
-  if (std::size_t Ended = Router.endOpenCalls(AnswerDeadline); Ended > 0)
+  if (std::size_t Ended = Router.endOpenCalls(); Ended > 0)
     log_event("open_calls_ended").add("calls", Ended);
-  while (Callers.isBusy() && currentTime() < AnswerDeadline)
+  // Calls of other nodes may run as long.
+  while ((Callers.isBusy() || Home.active() > 0 || Hub.isServing()) &&
+         currentTime() < AnswerDeadline)
     co_await sleepFor(AnswerCheckInterval);
 }
 
--- a/tests/mesh/mesh_fixture.cpp
+++ b/tests/mesh/mesh_fixture.cpp
@@ -163,6 +163,7 @@
   Settings.MemoryBytes = MemoryBytes;
   Settings.MaxDescriptors = MaxDescriptors;
   Settings.Hedging = Hedging;
+  Settings.Grace = Grace;
   Settings.RetryBudget.Slack = 100;
   Stopped.push_back(false);
   Nodes.emplace_back();
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -123,6 +123,7 @@
   /// Of nodes that are added after they are set.
   unsigned MaxDescriptors = 1'024;
   hedge_limits Hedging;
+  milliseconds Grace{6'000};
   /// Limits in configurations that are stored after they are set.
   double IdleTimeoutS = 15;
   std::uint64_t MaxBodyBytes = 1 << 20;
