Test bytes without end in each part of many answers at once

A report of users: a faulty server sends bytes without end, and the machine that called it runs out of memory. Each field of three bytes took about a hundred in the parser, and the limit counted the text.

--- a/tests/doors/answers_test.cpp
+++ b/tests/doors/answers_test.cpp
@@ -10,6 +10,7 @@
 constexpr unsigned Clients = 80;
 constexpr unsigned SlowReaders = 600;
 constexpr unsigned EndlessCalls = 18;
+constexpr unsigned ManyEndlessCalls = 150;
 constexpr std::size_t RequestsAhead = 1'000;
 constexpr std::size_t FewBytes = 100;
 constexpr milliseconds SlowPause{500};
@@ -50,4 +51,16 @@
                         EndlessCalls);
 }
 
+// Guards against a process that exceeds its memory because a faulty server
+// sends bytes without end in any part of its answers to many calls at once.
+BOOST_AUTO_TEST_CASE(in_any_part_of_many_answers) {
+  for (std::string Part :
+       {"fields", "field", "noise", "body", "extension", "trailer", "interim",
+        "slow_fields", "body_after_many_fields"})
+    BOOST_TEST_CONTEXT(Part)
+  doors_fixture().check(door::route,
+                        {request(door::route, "/api/endless/" + Part)},
+                        ManyEndlessCalls);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/doors/doors_fixture.cpp
+++ b/tests/doors/doors_fixture.cpp
@@ -55,13 +55,53 @@
          std::string(Request["Request-Id"]) + "\r\nResponse-Signature: s\r\n";
 }
 
-awaitable<void> answerWithoutEnd(tcp::socket &Socket, std::uint64_t &Moved) {
-  std::string Piece =
-      "10000\r\n" + std::string(EndlessPieceBytes, 'x') + "\r\n";
+/// The part of an answer that has no end, and what the server sends before it.
+struct endless_part {
+  std::string Start;
+  std::string Piece;
+  bool IsSlow = false; ///< with a pause after each piece
+};
+
+/// Returns the part that a path names; empty for other paths.
+std::optional<endless_part> endlessPart(const std::string &Path,
+                                        const std::string &Head) {
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Bytes(EndlessPieceBytes, 'x');
+  std::string Fields;
+  while (Fields.size() < EndlessPieceBytes)
+    Fields += "A:\r\n";
+  // With the head it stays below the limit of a head.
+  const std::string ManyFields = Fields.substr(0, EndlessPieceBytes - 4'096);
+  if (Path == "/api/endless")
+    return endless_part{Chunked, "10000\r\n" + Bytes + "\r\n"};
+  if (Path == "/api/endless/fields")
+    return endless_part{Head, Fields};
+  if (Path == "/api/endless/slow_fields")
+    return endless_part{Head + ManyFields, "A:\r\n", true};
+  if (Path == "/api/endless/body_after_many_fields")
+    return endless_part{Head + ManyFields + "\r\n", "x", true};
+  if (Path == "/api/endless/field")
+    return endless_part{Head + "A: ", Bytes};
+  if (Path == "/api/endless/noise")
+    return endless_part{"", Bytes};
+  if (Path == "/api/endless/body")
+    return endless_part{Head + "\r\n", Bytes};
+  if (Path == "/api/endless/extension")
+    return endless_part{Chunked + "5;a=", Bytes};
+  if (Path == "/api/endless/trailer")
+    return endless_part{Chunked + "0\r\n", Fields};
+  if (Path == "/api/endless/interim")
+    return endless_part{"", "HTTP/1.1 102 Processing\r\n" + Fields + "\r\n"};
+  return std::nullopt;
+}
+
+awaitable<void> answerWithoutEnd(tcp::socket &Socket, endless_part Part,
+                                 std::uint64_t &Moved) {
   error_code Code;
-  for (std::size_t Sent = 0; !Code; Sent += EndlessPieceBytes) {
-    co_await asio::async_write(Socket, asio::buffer(Piece), orError(Code));
-    if (Sent >= EndlessFastBytes)
+  co_await asio::async_write(Socket, asio::buffer(Part.Start), orError(Code));
+  for (std::size_t Sent = 0; !Code; Sent += Part.Piece.size()) {
+    co_await asio::async_write(Socket, asio::buffer(Part.Piece), orError(Code));
+    if (Part.IsSlow || Sent >= EndlessFastBytes)
       co_await sleepFor(EndlessPause);
     else
       ++Moved;
@@ -178,10 +218,8 @@
       ++Moved;
       std::string Target(Request->target());
       std::string Start = answerStart(*Request);
-      if (Target == "/api/endless") {
-        co_await write(Socket, Start + "Transfer-Encoding: chunked\r\n\r\n");
-        co_return co_await answerWithoutEnd(Socket, Moved);
-      }
+      if (auto Part = endlessPart(Target, Start))
+        co_return co_await answerWithoutEnd(Socket, std::move(*Part), Moved);
       // It answers when the node has given up.
       if (Target == "/api/slow")
         co_await sleepFor(TestTimeout);
