Refuse requests whose header can't be held or passed on with 431

Callers saw, with a limit of the operator of over 64 KiB on headers: a connection that closed without an answer, for a field of 65,534 bytes or more; and for a request with 9,000 fields 502, and 503 for the calls after it on the same link.

Cause: the HTTP library throws for a longer name or value, and a frame between nodes holds 8,192 elements, so that the other node closed the link (bad_frame).

Change: the parser of requests answers both as a header that is too large, at 8,000 fields.

--- a/src/chivebeam/net/bounded_request_parser.h
+++ b/src/chivebeam/net/bounded_request_parser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "net/asio_types.h"
 
 namespace chivebeam {
@@ -26,16 +28,24 @@
     if (is_header_done())
       return;
     const std::uint64_t Bytes = NameText.size() + Value.size() + FramingBytes;
-    if (Bytes > FieldBytesLeft) {
+    const bool IsTooLong =
+        std::max(NameText.size(), Value.size()) > MaxTextBytes;
+    if (Bytes > FieldBytesLeft || FieldsLeft == 0 || IsTooLong) {
       Code = http::error::header_limit;
       return;
     }
     FieldBytesLeft -= Bytes;
+    --FieldsLeft;
     get().insert(Name, NameText, Value);
   }
 
   static constexpr std::uint64_t FramingBytes = 4; ///< ": " and end of line
+  /// The HTTP library throws for a longer name or value.
+  static constexpr std::size_t MaxTextBytes = 65'533;
+  /// A request with more fields can't be sent to another node.
+  static constexpr std::size_t MaxFields = 8'000;
   std::uint64_t FieldBytesLeft = 0;
+  std::size_t FieldsLeft = MaxFields;
 };
 
 } // namespace chivebeam
--- a/tests/mesh/mesh_fixture.h
+++ b/tests/mesh/mesh_fixture.h
@@ -127,6 +127,7 @@
   /// Limits in configurations that are stored after they are set.
   double IdleTimeoutS = 15;
   std::uint64_t MaxBodyBytes = 1 << 20;
+  std::uint64_t MaxHeaderBytes = 16 << 10;
   /// Known to nodes that are added after it is set.
   std::set<failure_domain> Domains;
   double ColdPerS = 0; ///< of all services; zero: not named
