Let the servers of a soak reset uploads early

A server that answers before it has read an upload, without a length, and resets the connection is a further fault of the soak; uploads are larger than sockets hold, so that they are still being written.

--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -34,7 +34,11 @@
 constexpr milliseconds MaxThinkTime{30};
 constexpr int DeadlineMs = 2'000;
 constexpr milliseconds AnswerTimeout{DeadlineMs + 1'500};
-constexpr std::size_t UploadBytes = 200 << 10;
+constexpr std::size_t UploadBytes = 3 << 20; ///< more than sockets hold
+constexpr std::uint64_t MaxBodyBytes = 4 << 20;
+/// Of 50 requests, one is an upload and 29 are other payments.
+constexpr unsigned RequestKinds = 50;
+constexpr unsigned PaymentKinds = 30;
 /// Kinds of planned events come first.
 constexpr unsigned PlannedKinds = 4;
 constexpr unsigned AllKinds = 9;
@@ -94,7 +98,7 @@
       {"services", {json::object{{"name", "shop"}, {"maxConnections", 110}}}},
       {"limits",
        {{"maxHeaderBytes", 16'384},
-        {"maxBodyBytes", 1 << 20},
+        {"maxBodyBytes", MaxBodyBytes},
         {"headerTimeoutS", 3},
         {"idleTimeoutS", 15}}},
       {"virtualHosts",
@@ -195,8 +199,8 @@
     }
     std::string Id =
         Node.Name + "-" + std::to_string(Number) + "-" + std::to_string(Sent);
-    unsigned Kind = static_cast<unsigned>(Random.below(10));
-    bool IsPayment = Kind < 6;
+    unsigned Kind = static_cast<unsigned>(Random.below(RequestKinds));
+    bool IsPayment = Kind < PaymentKinds;
     std::string Body(Kind == 0 ? UploadBytes : 4, 'b');
     std::string Request =
         (IsPayment ? "POST /pay/" : "GET /read/") + Id +
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -19,7 +19,6 @@
   bool IsBodyWhole = false; ///< the answer's body is what the server sent
   std::string Entry;        ///< the node that it was sent to
   unsigned Runs = 0;
-  instant LastRunAt;
   bool WasSpoiled = false; ///< a server sent something else than its answer
 };
 
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -20,6 +20,7 @@
 constexpr unsigned MaxRunMillis = 60;
 constexpr unsigned SpoiledOneIn = 4;
 constexpr std::size_t EndlessBytes = 2 << 20;
+constexpr std::size_t MaxBodyBytes = 4 << 20;
 
 std::string repeat(const std::string &Text, std::size_t Bytes) {
   std::string Out;
@@ -102,28 +103,47 @@
   Fault = server_fault::none;
 }
 
+bool soak_server::noteRun(const std::string &Id) {
+  instant Now = currentTime();
+  request_record &Entry = Record.of(Id);
+  ++Entry.Runs;
+  if (LeftAt && Now > *LeftAt + DrainTime)
+    Record.lateRun(Id, id());
+  bool IsSpoiled =
+      Fault != server_fault::none && Random.below(SpoiledOneIn) == 0;
+  Entry.WasSpoiled = Entry.WasSpoiled || IsSpoiled;
+  return IsSpoiled;
+}
+
 awaitable<void> soak_server::serve(tcp::socket &Socket) {
   beast::flat_buffer Buffer;
-  while (auto Request = co_await readRequest(Socket, Buffer)) {
-    std::string Id((*Request)["Request-Id"]);
-    std::string Expected((*Request)["Expected-Instance"]);
+  for (;;) {
+    http::request_parser<http::string_body> Parser;
+    Parser.body_limit(MaxBodyBytes);
+    error_code Code;
+    co_await http::async_read_header(Socket, Buffer, Parser, orError(Code));
+    const bool AnswersEarly = Fault == server_fault::early_reset;
+    if (!Code && !AnswersEarly)
+      co_await http::async_read(Socket, Buffer, Parser, orError(Code));
+    if (Code)
+      co_return;
+    std::string Id(Parser.get()["Request-Id"]);
+    std::string Expected(Parser.get()["Expected-Instance"]);
     std::string Head =
         "\r\nRequest-Id: " + Id + "\r\nResponse-Signature: s\r\n";
     if (Expected != id()) {
       std::string Refusal =
           "HTTP/1.1 421 Misdirected" + Head + "Content-Length: 0\r\n\r\n";
       co_await write(Socket, Refusal);
+      if (!Parser.is_done())
+        co_return;
       continue;
     }
-    instant Now = currentTime();
-    request_record &Entry = Record.of(Id);
-    ++Entry.Runs;
-    Entry.LastRunAt = Now;
-    if (LeftAt && Now > *LeftAt + DrainTime)
-      Record.lateRun(Id, id());
-    bool IsSpoiled =
-        Fault != server_fault::none && Random.below(SpoiledOneIn) == 0;
-    Entry.WasSpoiled = Entry.WasSpoiled || IsSpoiled;
+    bool IsSpoiled = noteRun(Id);
+    if (!IsSpoiled && !Parser.is_done())
+      co_await http::async_read(Socket, Buffer, Parser, orError(Code));
+    if (Code)
+      co_return;
     co_await sleepFor(milliseconds(5 + Random.below(MaxRunMillis)));
     if (!Socket.is_open())
       co_return;
@@ -156,6 +176,7 @@
   case server_fault::long_trailer:
     return Chunked + "0\r\nA: " + std::string(70'000, 'a') + "\r\n";
   case server_fault::reset_unframed:
+  case server_fault::early_reset:
     return Ok + "\r\npart";
   case server_fault::no_status:
     return "HTTP/1.1 000 None" + Head + Whole;
@@ -168,7 +189,8 @@
 }
 
 awaitable<void> soak_server::sendFaulty(tcp::socket &Socket, std::string Head) {
-  const bool Resets = Fault == server_fault::reset_unframed;
+  const bool Resets = Fault == server_fault::reset_unframed ||
+                      Fault == server_fault::early_reset;
   std::string Answer = faultyAnswer(Head);
   co_await write(Socket, std::move(Answer));
   error_code Ignored;
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -18,10 +18,11 @@
   reset_unframed, ///< part of an answer without a length, then a reset
   no_status,      ///< the status 000
   odd_field,      ///< a blank and a control byte in a field's name
-  second_answer
+  second_answer,
+  early_reset ///< the same as reset_unframed, before an upload is read
 };
 
-inline constexpr int ServerFaults = 9;
+inline constexpr int ServerFaults = 10;
 
 /// A backend server of the platform beside one node of a soak. It reports, may
 /// crash, leave, or be faulty for a time. Runs on one io_context.
@@ -44,6 +45,9 @@
   std::string id() const { return Name + "-" + std::to_string(Born); }
   void start();
   awaitable<void> serve(tcp::socket &Socket);
+  /// Notes that a request has reached the server; returns whether its answer is
+  /// to be spoiled.
+  bool noteRun(const std::string &Id);
   std::string faultyAnswer(const std::string &Head) const;
   awaitable<void> sendFaulty(tcp::socket &Socket, std::string Head);
   awaitable<unsigned> sendReport(std::string State);
