--- a/tests/mesh/spoiled_answer_test.cpp
+++ b/tests/mesh/spoiled_answer_test.cpp
@@ -68,7 +68,8 @@
       for (bool IsName : {true, false})
         for (std::string End : {"\r\n\r\n", "\r\n", ""}) {
           std::string Text(Size, 'a');
-          Mesh.Trailer = (IsName ? Text + ": b" : "A: " + Text) + End;
+          Mesh.Trailer = IsName ? Text.append(": b") : Text.insert(0, "A: ");
+          Mesh.Trailer += End;
           std::string Id =
               std::to_string(Size) + "-" + std::to_string(IsName) + End;
           auto Answer = co_await Mesh.call(
@@ -113,9 +114,10 @@
       for (std::size_t Entry : {0, 1}) {
         Mesh.FaultyStart = Start;
         std::size_t Before = Mesh.worker(1).Received.size();
-        auto Answer = co_await Mesh.call(
-            Entry,
-            Mesh.post("/pay/kassa/1", "c" + std::to_string(Sent++), "x"));
+        std::string Id = "c" + std::to_string(Sent);
+        ++Sent;
+        auto Answer =
+            co_await Mesh.call(Entry, Mesh.post("/pay/kassa/1", Id, "x"));
         BOOST_TEST(statusOf(Answer) == 502u, Start.substr(0, 50));
         BOOST_TEST(Mesh.worker(1).Received.size() == Before + 1);
         auto Next = co_await Mesh.call(Entry, Mesh.get("/kassa/1", "next"));
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -202,13 +202,18 @@
     unsigned Kind = static_cast<unsigned>(Random.below(RequestKinds));
     bool IsPayment = Kind < PaymentKinds;
     std::string Body(Kind == 0 ? UploadBytes : 4, 'b');
-    std::string Request =
-        (IsPayment ? "POST /pay/" : "GET /read/") + Id +
-        " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + Id +
-        "\r\nDeadline-Ms: " + std::to_string(DeadlineMs) +
-        (IsPayment ? "\r\nContent-Length: " + std::to_string(Body.size()) +
-                         "\r\n\r\n" + Body
-                   : "\r\n\r\n");
+    std::string Request = IsPayment ? "POST /pay/" : "GET /read/";
+    Request.append(Id)
+        .append(" HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: ")
+        .append(Id)
+        .append("\r\nDeadline-Ms: ")
+        .append(std::to_string(DeadlineMs));
+    if (IsPayment)
+      Request.append("\r\nContent-Length: ")
+          .append(std::to_string(Body.size()));
+    Request.append("\r\n\r\n");
+    if (IsPayment)
+      Request.append(Body);
     request_record &Entry = Record.of(Id);
     Entry.IsPayment = IsPayment;
     Entry.Entry = Node.Name;
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -43,9 +43,15 @@
 
 std::vector<std::string> soak_record::judge() const {
   std::vector<std::string> Found = Violations;
-  for (const auto &[Id, Request] : Requests)
-    if (std::string Problem = problemOf(Request); !Problem.empty())
-      Found.push_back(Id + " at " + Request.Entry + " " + Problem);
+  for (const auto &[Id, Request] : Requests) {
+    std::string Problem = problemOf(Request);
+    if (!Problem.empty())
+      Found.push_back(std::string(Id)
+                          .append(" at ")
+                          .append(Request.Entry)
+                          .append(" ")
+                          .append(Problem));
+  }
   return Found;
 }
 
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -154,15 +154,17 @@
     std::string Body = "answer to " + Id;
     if (IsLeaving)
       Head += "Server-Leaving: 1\r\n";
-    std::string Answer = "HTTP/1.1 200 OK" + Head +
-                         "Content-Length: " + std::to_string(Body.size()) +
-                         "\r\n\r\n" + Body;
+    std::string Answer = "HTTP/1.1 200 OK" + Head;
+    Answer.append("Content-Length: ")
+        .append(std::to_string(Body.size()))
+        .append("\r\n\r\n")
+        .append(Body);
     co_await write(Socket, Answer);
   }
 }
 
 std::string soak_server::faultyAnswer(const std::string &Head) const {
-  const std::string Ok = "HTTP/1.1 200 OK" + Head;
+  std::string Ok = "HTTP/1.1 200 OK" + Head;
   const std::string Whole = "Content-Length: 4\r\n\r\npart";
   const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
   switch (Fault) {
