--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -34,14 +34,15 @@
 constexpr milliseconds MaxThinkTime{30};
 constexpr int DeadlineMs = 2'000;
 constexpr milliseconds AnswerTimeout{DeadlineMs + 1'500};
-constexpr std::size_t UploadBytes = 3 << 20; ///< more than sockets hold
-constexpr std::uint64_t MaxBodyBytes = 4 << 20;
+constexpr std::size_t UploadBytes = 8 << 20; ///< more than sockets hold
+constexpr std::uint64_t MaxBodyBytes = 16 << 20;
 /// Of 50 requests, one is an upload and 29 are other payments.
 constexpr unsigned RequestKinds = 50;
 constexpr unsigned PaymentKinds = 30;
 /// Kinds of planned events come first.
 constexpr unsigned PlannedKinds = 4;
-constexpr unsigned AllKinds = 9;
+/// Those from the last named one on are faulty answers.
+constexpr unsigned AllKinds = 12;
 
 /// Returns an address of this soak alone, so that the ports are free.
 std::string ownIp(unsigned Node) {
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -20,7 +20,7 @@
 constexpr unsigned MaxRunMillis = 60;
 constexpr unsigned SpoiledOneIn = 4;
 constexpr std::size_t EndlessBytes = 2 << 20;
-constexpr std::size_t MaxBodyBytes = 4 << 20;
+constexpr std::size_t MaxBodyBytes = 16 << 20;
 
 std::string repeat(const std::string &Text, std::size_t Bytes) {
   std::string Out;
@@ -29,6 +29,12 @@
   return Out;
 }
 
+std::string inChunk(const std::string &Body) {
+  char Size[16];
+  std::snprintf(Size, sizeof Size, "%zx", Body.size());
+  return std::string(Size).append("\r\n").append(Body).append("\r\n");
+}
+
 } // namespace
 
 soak_server::soak_server(asio::io_context &IoContext, soak_record &SoakRecord,
@@ -109,8 +115,10 @@
   ++Entry.Runs;
   if (LeftAt && Now > *LeftAt + DrainTime)
     Record.lateRun(Id, id());
+  // Few requests are uploads, so an early answer spoils each.
   bool IsSpoiled =
-      Fault != server_fault::none && Random.below(SpoiledOneIn) == 0;
+      Fault == server_fault::early_reset ||
+      (Fault != server_fault::none && Random.below(SpoiledOneIn) == 0);
   Entry.WasSpoiled = Entry.WasSpoiled || IsSpoiled;
   return IsSpoiled;
 }
@@ -147,11 +155,11 @@
     co_await sleepFor(milliseconds(5 + Random.below(MaxRunMillis)));
     if (!Socket.is_open())
       co_return;
+    std::string Body = "answer to " + Id;
     if (IsSpoiled) {
-      co_await sendFaulty(Socket, Head);
+      co_await sendFaulty(Socket, Head, Body);
       co_return;
     }
-    std::string Body = "answer to " + Id;
     if (IsLeaving)
       Head += "Server-Leaving: 1\r\n";
     std::string Answer = "HTTP/1.1 200 OK" + Head;
@@ -163,7 +171,8 @@
   }
 }
 
-std::string soak_server::faultyAnswer(const std::string &Head) const {
+std::string soak_server::faultyAnswer(const std::string &Head,
+                                      const std::string &Body) const {
   std::string Ok = "HTTP/1.1 200 OK" + Head;
   const std::string Whole = "Content-Length: 4\r\n\r\npart";
   const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
@@ -176,7 +185,8 @@
   case server_fault::endless_body:
     return Chunked + repeat("4\r\npart\r\n", EndlessBytes);
   case server_fault::long_trailer:
-    return Chunked + "0\r\nA: " + std::string(70'000, 'a') + "\r\n";
+    return Chunked + inChunk(Body) + "0\r\nA: " + std::string(70'000, 'a') +
+           "\r\n\r\n";
   case server_fault::reset_unframed:
   case server_fault::early_reset:
     return Ok + "\r\npart";
@@ -190,10 +200,11 @@
   return Ok;
 }
 
-awaitable<void> soak_server::sendFaulty(tcp::socket &Socket, std::string Head) {
+awaitable<void> soak_server::sendFaulty(tcp::socket &Socket, std::string Head,
+                                        std::string Body) {
   const bool Resets = Fault == server_fault::reset_unframed ||
                       Fault == server_fault::early_reset;
-  std::string Answer = faultyAnswer(Head);
+  std::string Answer = faultyAnswer(Head, Body);
   co_await write(Socket, std::move(Answer));
   error_code Ignored;
   if (Resets)
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -48,8 +48,10 @@
   /// Notes that a request has reached the server; returns whether its answer is
   /// to be spoiled.
   bool noteRun(const std::string &Id);
-  std::string faultyAnswer(const std::string &Head) const;
-  awaitable<void> sendFaulty(tcp::socket &Socket, std::string Head);
+  std::string faultyAnswer(const std::string &Head,
+                           const std::string &Body) const;
+  awaitable<void> sendFaulty(tcp::socket &Socket, std::string Head,
+                             std::string Body);
   awaitable<unsigned> sendReport(std::string State);
 
   asio::io_context &Context;
