--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -25,6 +25,8 @@
 constexpr std::uint16_t PeerPort = 7600;
 constexpr seconds Grace{6};
 constexpr seconds StartTimeout{20};
+/// Longer than any event or answer takes.
+constexpr seconds EndTimeout{20};
 constexpr milliseconds CheckInterval{20};
 constexpr milliseconds RestartDelay{300};
 constexpr milliseconds OutageTime{1'500};
@@ -188,15 +190,17 @@
     co_await sleepFor(
         milliseconds(1 + Random.below(std::uint64_t(MaxThinkTime.count()))));
     if (!Caller) {
-      tcp::socket Probe(Context);
-      error_code Code;
-      co_await Probe.async_connect(toTcp(Callers), orError(Code));
-      if (Code) {
-        co_await sleepFor(CheckInterval);
-        continue;
-      }
       Caller = std::make_shared<caller>(Context);
-      co_await Caller->connect(Callers);
+      try {
+        co_await Caller->connect(Callers);
+      } catch (const boost::system::system_error &) {
+        // The process is being replaced.
+        Caller.reset();
+      }
+    }
+    if (!Caller) {
+      co_await sleepFor(CheckInterval);
+      continue;
     }
     std::string Id =
         Node.Name + "-" + std::to_string(Number) + "-" + std::to_string(Sent);
@@ -337,8 +341,11 @@
           asio::co_spawn(Context, events(), asio::detached);
         co_await sleepFor(Plan.Time);
         Ending = true;
-        while (OpenClients > 0 || OpenEvents > 0)
+        instant GiveUpAt = currentTime() + EndTimeout;
+        while ((OpenClients > 0 || OpenEvents > 0) && currentTime() < GiveUpAt)
           co_await sleepFor(CheckInterval);
+        if (OpenClients > 0 || OpenEvents > 0)
+          Record.hung();
         Context.stop();
       },
       asio::detached);
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -34,6 +34,8 @@
   void processEnded(const std::string &Node, const std::string &How) {
     Violations.push_back("process of " + Node + " ended by itself: " + How);
   }
+  /// Notes that clients or events did not end.
+  void hung() { Violations.push_back("clients or events did not end"); }
   /// Notes that a request reached a server too long after its acknowledged
   /// leave.
   void lateRun(const std::string &Id, const std::string &Server) {
