--- a/review/stand_ins_3/bed.h
+++ b/review/stand_ins_3/bed.h
@@ -31,7 +31,7 @@
     char Time[32];
     std::snprintf(Time, sizeof Time, "%8.3f ", seconds());
     std::lock_guard Lock(Mutex);
-    File << Time << Text << std::endl;
+    File << Time << Text << '\n';
   }
 
 private:
@@ -176,6 +176,7 @@
         ++Total;
         Extra = ExtraFields;
       }
+      Log.line("run " + Id + " by " + Options.Id);
       if (Options.Special && Options.Special(Socket, *Request, Extra))
         return;
       pause_ms(Options.WorkMs);
--- a/review/stand_ins_3/fleet.h
+++ b/review/stand_ins_3/fleet.h
@@ -162,8 +162,11 @@
       request Request = Samples[++Turns % Samples.size()];
       Request.Id = unique_id();
       std::size_t From = First, To = Last;
-      outcome Seen =
-          call(Fleet.Nodes[From + Turn % (To - From)]->outbound(), Request);
+      node &Node = *Fleet.Nodes[From + Turn % (To - From)];
+      outcome Seen = call(Node.outbound(), Request);
+      Fleet.Log.line("sent " + Request.Id + " " + Request.Target + " at " +
+                     Node.options().Name + ", answered " +
+                     std::to_string(Seen.Status));
       {
         std::lock_guard Lock(Mutex);
         ++Count.Sent;
