Review 3, case 11: an acknowledged leave is lost with all processes

Disruption: the store answers 503 for 2.7 s, all processes are killed before it is back.

Cause: the leave notice is acknowledged although the store has not taken it; only the memory of the processes knows of it.

--- a/review/stand_ins_3/bed.h
+++ b/review/stand_ins_3/bed.h
@@ -67,7 +67,8 @@
       return false;
     Reports = std::thread([this] {
       while (!Stopped) {
-        report();
+        if (!Quiet)
+          report();
         for (std::int64_t Waited = 0; Waited < Options.HeartbeatMs && !Stopped &&
                                       !ReportNow.exchange(false);
              Waited += 10)
@@ -93,6 +94,8 @@
   }
   /// Sends DELETE; returns the status of the answer, 0 if there is none.
   int deregister() { return send("DELETE", "{\"born\":" + std::to_string(Born) + "}"); }
+  /// Sends no status reports any more.
+  void stopReports() { Quiet = true; }
   int lastReportStatus() const { return ReportStatus; }
   void setExtraFields(const std::string &Text) {
     std::lock_guard Lock(Mutex);
@@ -196,7 +199,7 @@
   const std::int64_t Born;
   server Door;
   std::thread Reports;
-  std::atomic<bool> Stopped = false, ReportNow = false;
+  std::atomic<bool> Stopped = false, ReportNow = false, Quiet = false;
   std::atomic<int> ReportStatus = -1, Total = 0;
   std::mutex Mutex;
   std::string State = "ready", LastState, ExtraFields;
--- a/review/stand_ins_3/case_11.cpp
+++ b/review/stand_ins_3/case_11.cpp
@@ -1,93 +1,104 @@
-// Case 11: after a drill of the store, processes that start anew take the
-// order of a completed roll-out for a new one.
+// Case 11: a leave notice that was acknowledged while the store was down is
+// lost if all processes end before the store is back.
 #include "fleet.h"
 
 using namespace review;
 
 namespace {
 
-constexpr std::size_t OldMachines = 4;
-constexpr std::size_t AllMachines = 8;
+constexpr std::size_t Machines = 3;
+constexpr double DrainS = 2;
+constexpr int BurstOfMachine = 8;
+
+request payment() {
+  request Payment;
+  Payment.Method = "POST";
+  Payment.Target = "/pay/a";
+  Payment.Host = "shop.example";
+  Payment.Body = "amount=1";
+  Payment.Id = unique_id();
+  Payment.DeadlineMs = 4000;
+  return Payment;
+}
+
+/// Sends payments at all machines at once; returns their ids.
+std::vector<std::string> burst(fleet &Fleet, record &Log) {
+  std::mutex Mutex;
+  std::vector<std::string> Ids;
+  std::vector<std::thread> Threads;
+  for (std::size_t Machine = 0; Machine < Machines; ++Machine)
+    for (int Number = 0; Number < BurstOfMachine; ++Number)
+      Threads.emplace_back([&, Machine] {
+        request Payment = payment();
+        outcome Seen = call(Fleet.Nodes[Machine]->outbound(), Payment);
+        Log.line("sent " + Payment.Id + " at side-" + std::to_string(Machine) +
+                 ", answered " + std::to_string(Seen.Status) + " " + Seen.Body);
+        std::lock_guard Lock(Mutex);
+        Ids.push_back(Payment.Id);
+      });
+  for (std::thread &Thread : Threads)
+    Thread.join();
+  return Ids;
+}
 
 int play(fleet &Fleet, record &Log, bool Trouble) {
-  bool Works = Fleet.startStore(write_config(3, {{"desk", "desk", "safe"}}));
-  for (std::size_t Machine = 0; Machine < OldMachines; ++Machine)
-    Works = Works && Fleet.addMachine("desk", "v1", true);
+  bool Works = Fleet.startStore(write_config(3, {{"pay", "desk", "unsafe"}}));
+  for (std::size_t Machine = 0; Machine < Machines; ++Machine)
+    Works = Works && Fleet.addMachine("desk", "v1", true,
+                                      [](worker_options &Options) {
+                                        Options.Slots = 6;
+                                        Options.WorkMs = 200;
+                                      });
   if (!Works || !wait_for([&] { return Fleet.isReady(); }, 15)) {
     Log.line("the deployment did not become ready");
     return 2;
   }
-  pause_ms(3000);
-  for (std::size_t Machine = OldMachines; Machine < AllMachines; ++Machine)
-    Fleet.addMachine("desk", "v2", false);
-  wait_for([&] { return Fleet.isReady(); }, 10);
-  request Sample;
-  Sample.Target = "/desk/a";
-  Sample.Host = "shop.example";
-  Sample.DeadlineMs = 1000;
-  callers Callers(Fleet, OldMachines, 8, 200, {Sample});
-  pause_ms(1500);
-  Log.line("before the roll-out: " + Callers.take().text());
-  Fleet.Store.put("op/rollout/desk",
-                  R"({"service":"desk","targetVersion":"v2","durationS":16})");
-  Log.line("op/rollout/desk written");
-  auto Status = [&] { return Fleet.Store.value("status/rollout/desk"); };
-  bool Completed = wait_for(
-      [&] { return Status().find("completed") != std::string::npos; }, 20);
-  Log.line("status: " + Status());
-  if (!Completed) {
-    Log.line("the roll-out was not completed");
-    return 2;
-  }
-  // At completed, the old workers stop, and their machines are removed.
-  Callers.setMachines(OldMachines, AllMachines);
-  Fleet.removeMachines(0, OldMachines);
-  Log.line("workers of v1 stopped, their machines removed");
-  // Later there are fewer callers.
-  Callers.setPause(2000);
-  pause_ms(3000);
-  Fleet.Store.saveCopy();
-  Log.line("the store is copied; keys:");
-  for (const std::string &Key : Fleet.Store.keys())
-    Log.line("  " + Key);
-  pause_ms(3000);
+  pause_ms(4000);
+  burst(Fleet, Log);
+  worker &Leaving = *Fleet.Workers[0];
+  bool IsUsed = Leaving.totalRuns() > 0;
   if (Trouble) {
-    Fleet.Store.setAway(true);
-    Log.line("drill: the store is away");
+    Fleet.Store.setBusy(true);
+    Log.line("the store is down: it answers 503");
   }
+  pause_ms(500);
+  // The worker sends DELETE first, serves on and says in its answers that it
+  // leaves.
+  Leaving.stopReports();
+  Leaving.setExtraFields("Server-Leaving: 1\r\n");
+  int Status = Leaving.deregister();
+  time_point AcknowledgedAt = now();
+  Log.line("DELETE /instances/" + Leaving.options().Id + " answered " +
+           std::to_string(Status));
   pause_ms(1000);
   if (Trouble) {
-    Fleet.Store.restoreCopy();
-    Fleet.Store.setAway(false);
-    Log.line("drill: the store is back from the copy, 4 s old; era " +
-             std::to_string(Fleet.Store.era()));
+    for (auto &Node : Fleet.Nodes)
+      Node->kill();
+    Log.line("all processes killed");
+    pause_ms(600);
+    for (auto &Node : Fleet.Nodes)
+      Node->start(false);
+    pause_ms(600);
+    Fleet.Store.setBusy(false);
+    Log.line("the store is back");
+  } else {
+    pause_ms(1200);
   }
-  pause_ms(8000);
-  Callers.take();
-  pause_ms(4000);
-  traffic_count Before = Callers.take();
-  Log.line("before the final fault: " + Before.text());
-  Log.line("status: " + Status());
-  for (auto &Node : Fleet.Nodes)
-    Node->kill();
-  Log.line("final fault: all processes killed");
-  pause_ms(600);
-  for (std::size_t Machine = OldMachines; Machine < AllMachines; ++Machine)
-    Fleet.Nodes[Machine]->start(false);
-  wait_for([&] { return Fleet.isReady(); }, 10);
-  Log.line("all machines are back and ready");
-  pause_ms(15000);
-  Callers.take();
-  pause_ms(15000);
-  traffic_count After = Callers.take();
-  Log.line("later than recoveryS after the machines are back: " + After.text());
-  Log.line("status: " + Status());
-  for (auto &Worker : Fleet.Workers)
-    Log.line("worker " + Worker->options().Id + " ran " +
-             std::to_string(Worker->totalRuns()));
-  if (Before.share() < 0.25 || After.Sent == 0)
+  bool IsBack = wait_for([&] { return Fleet.isReady(); }, 10);
+  Log.line(IsBack ? "all machines are ready" : "not all machines are ready");
+  // All machines are in touch stabilityWindowS after the store's return.
+  pause_ms(3300);
+  double Since = std::chrono::duration<double>(now() - AcknowledgedAt).count();
+  Log.line("payments from all machines, " + std::to_string(Since) +
+           " s after the acknowledgement");
+  int Late = 0;
+  for (const std::string &Id : burst(Fleet, Log))
+    Late += Leaving.runsOf(Id);
+  Log.line("payments that ran on " + Leaving.options().Id + ": " +
+           std::to_string(Late));
+  if (!IsUsed || Status != 200 || !IsBack || Since <= DrainS)
     return 2;
-  return After.share() < 0.25 ? 1 : 0;
+  return Late > 0 ? 1 : 0;
 }
 
 } // namespace
@@ -101,8 +112,8 @@
     fleet Fleet(Setup, Log, {"zone-a", "zone-b", "zone-c"});
     Result = play(Fleet, Log, Setup.Trouble);
   }
-  Log.line(Result == 1   ? "RECOVER is broken"
-           : Result == 0 ? "RECOVER holds"
+  Log.line(Result == 1   ? "DRAIN is broken"
+           : Result == 0 ? "DRAIN holds"
                          : "the case could not run");
   Setup.clean();
   return Result;
--- a/review/stand_ins_3/store.h
+++ b/review/stand_ins_3/store.h
@@ -129,6 +129,21 @@
     }
     Door.cutAll();
   }
+  /// While busy, the store answers 503 to everything, and leases pause.
+  void setBusy(bool IsBusy) {
+    {
+      std::lock_guard Lock(Mutex);
+      if (IsBusy)
+        BusySince = now();
+      else
+        for (auto &[Id, Lease] : State.Leases)
+          Lease.Ends += now() - BusySince;
+      Busy = IsBusy;
+      ++Cuts;
+      Changed.notify_all();
+    }
+    Door.cutAll();
+  }
   /// Keeps a copy of everything, leases too.
   void saveCopy() {
     std::lock_guard Lock(Mutex);
@@ -204,7 +219,7 @@
     Changed.notify_all();
   }
   void expireLeases() {
-    if (Away)
+    if (Away || Busy)
       return;
     std::vector<std::uint64_t> Due;
     for (const auto &[Id, Lease] : State.Leases)
@@ -231,7 +246,7 @@
           Changed.wait(Lock, [this] { return !Away || Ended; });
           return;
         }
-        Answer = handle(*Request, Lock);
+        Answer = Busy ? answer{503, {}} : handle(*Request, Lock);
         EraNow = Era;
       }
       if (!Answer)
@@ -371,7 +386,8 @@
   std::condition_variable Changed;
   std::thread Reaper;
   std::atomic<bool> Ended = false;
-  bool Away = false;
+  bool Away = false, Busy = false;
+  time_point BusySince;
   content State, Copy;
   std::vector<json::object> History;
   std::uint64_t Revision = 10, CopyRevision = 10, NextLease = 1000, Cuts = 0;
